--- /dev/null
+++ b/gentiandale-core/src/main/kotlin/gentiandale/core/backend/BackendRow.kt
@@ -0,0 +1,69 @@
+package gentiandale.core.backend
+
+import gentiandale.core.Address
+import gentiandale.core.DataCentreId
+import gentiandale.core.Incarnation
+import gentiandale.core.ServerId
+import gentiandale.core.ServerKind
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+
+/** Names the service that a backend server belongs to. */
+@Serializable
+@JvmInline
+public value class ServiceName(public val value: String) : Comparable<ServiceName> {
+    override fun compareTo(other: ServiceName): Int = value.compareTo(other.value)
+
+    override fun toString(): String = value
+}
+
+/** Whether a backend server takes new work. */
+@Serializable
+public enum class BackendState {
+    /** It takes new work. */
+    @SerialName("r")
+    READY,
+
+    /** It finishes what it has and takes no new work. */
+    @SerialName("d")
+    LEAVING,
+
+    /** It has ended. */
+    @SerialName("g")
+    GONE,
+}
+
+/**
+ * What a backend server has last said of itself.
+ *
+ * @param incarnation start time of its process in milliseconds since the epoch; a later life wins.
+ * @param sequence number of the heartbeat within the incarnation; the highest one is the newest.
+ * @param places requests that it runs at once.
+ * @param weights version of its model weights; 0 where it has none or does not say.
+ * @param silent whether control VMs have heard no heartbeat for several intervals.
+ */
+@Serializable
+public data class BackendRow(
+    @SerialName("i") val id: ServerId,
+    @SerialName("b") val incarnation: Incarnation,
+    @SerialName("q") val sequence: Long,
+    @SerialName("s") val service: ServiceName,
+    @SerialName("a") val address: Address,
+    @SerialName("z") val dataCentre: DataCentreId,
+    @SerialName("t") val state: BackendState,
+    @SerialName("k") val kind: ServerKind,
+    @SerialName("p") val places: Int,
+    @SerialName("w") val weights: Long = 0,
+    @SerialName("x") val silent: Boolean = false,
+) {
+    /** Returns whether this row tells something newer of the same server than [other]. */
+    public fun isNewerThan(other: BackendRow): Boolean = when {
+        incarnation != other.incarnation -> incarnation > other.incarnation
+        (state == BackendState.GONE) != (other.state == BackendState.GONE) -> state == BackendState.GONE
+        sequence != other.sequence -> sequence > other.sequence
+        else -> !silent && other.silent
+    }
+
+    /** Returns whether an entry VM has to act differently on [other]. */
+    public fun differsFrom(other: BackendRow): Boolean = copy(sequence = other.sequence) != other
+}
--- /dev/null
+++ b/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/EntryFeed.kt
@@ -0,0 +1,103 @@
+package gentiandale.fleet
+
+import gentiandale.core.Clock
+import gentiandale.core.VmId
+import gentiandale.core.backend.BackendRow
+import gentiandale.core.log.EventLog
+import gentiandale.state.Document
+
+/** What an entry VM does with the news of the control VMs. */
+public interface FeedReceiver {
+    /** Version of the configuration in force; 0 for none. */
+    public val version: Long
+
+    /** Digest of the known backend servers. */
+    public val digest: Long
+
+    /** Takes the configuration [document]; returns whether it came into force. */
+    public fun use(document: Document, source: VmId): Boolean
+
+    /** Takes what is known of a server and returns the rows that changed. */
+    public fun merge(row: BackendRow): List<BackendRow>
+
+    /** Takes the number of entry VMs. */
+    public fun onEntryCount(count: Int)
+}
+
+/**
+ * Keeps an entry VM up to date: it talks to every control VM that it knows, so that one that can reach it and the
+ * majority is enough. It is used by one thread.
+ */
+public class EntryFeed(
+    self: VmId,
+    private val clock: Clock,
+    private val sender: FleetSender,
+    private val receiver: FeedReceiver,
+    private val log: EventLog,
+) {
+    private val roster = ControlRoster(self, log)
+    private val startedMs = clock.monotonicMs()
+    private var fetchedMs = Long.MIN_VALUE / 2
+    private var heardMs: Long? = null
+    private var rowsMs: Long? = null
+
+    /** Time in milliseconds since a control VM was heard last; null if none ever was. */
+    public val ageMs: Long? get() = heardMs?.let { clock.monotonicMs() - it }
+
+    /** Whether the servers are known about as well as they will be soon after a start. */
+    public val isSettled: Boolean
+        get() = rowsMs != null || clock.monotonicMs() - startedMs > SETTLE_MS
+
+    /** Sets the control VMs that settings name. */
+    public fun setSeeds(seeds: Set<VmId>) {
+        roster.seeds = seeds
+    }
+
+    /** Sends the regular messages. It is called every [ControlHub.TICK_MS] milliseconds. */
+    public fun tick() {
+        roster.tick(clock.monotonicMs())
+        val message = FleetMessage.Subscribe(receiver.version, receiver.digest)
+        roster.all.forEach { sender.send(it, message) }
+    }
+
+    /** Handles [message] of the control VM [from]. */
+    public fun receive(from: VmId, message: FleetMessage) {
+        val now = clock.monotonicMs()
+        when (message) {
+            is FleetMessage.Notice -> onNotice(from, message, now)
+            is FleetMessage.Configuration -> onConfiguration(from, message.document)
+            is FleetMessage.Servers -> onServers(from, message.rows, now)
+            is FleetMessage.Subscribe, is FleetMessage.Greet, is FleetMessage.Fetch -> Unit
+        }
+    }
+
+    private fun onNotice(from: VmId, notice: FleetMessage.Notice, now: Long) {
+        heardMs = now
+        roster.onHeard(from, notice.controls, now)
+        receiver.onEntryCount(notice.entries)
+        if (notice.version > receiver.version && now - fetchedMs > FETCH_MS) {
+            fetchedMs = now
+            sender.send(from, FleetMessage.Fetch(receiver.version))
+        }
+    }
+
+    private fun onConfiguration(from: VmId, document: Document) {
+        fetchedMs = Long.MIN_VALUE / 2
+        if (document.version > receiver.version) receiver.use(document, from)
+    }
+
+    private fun onServers(from: VmId, rows: List<BackendRow>, now: Long) {
+        rowsMs = now
+        rows.forEach { row ->
+            receiver.merge(row).forEach { log.write(FleetEvent.ServerChanged(it, from.value)) }
+        }
+    }
+
+    private companion object {
+        /** A fetch that got no answer is repeated at another VM after this time. */
+        const val FETCH_MS = 200L
+
+        /** Servers send a heartbeat about every second; after two of them all that can be known is known. */
+        const val SETTLE_MS = 2_500L
+    }
+}
--- /dev/null
+++ b/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/FleetMessage.kt
@@ -0,0 +1,52 @@
+package gentiandale.fleet
+
+import gentiandale.core.VmId
+import gentiandale.core.backend.BackendRow
+import gentiandale.state.Document
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+
+/** A message of the fleet channel. All of them may be lost, doubled and reordered. */
+@Serializable
+public sealed interface FleetMessage {
+    /**
+     * An entry VM says that it is there and what it has.
+     *
+     * @param version version of its configuration; 0 for none.
+     * @param digest digest of the backend servers it knows.
+     */
+    @Serializable
+    @SerialName("s")
+    public data class Subscribe(val version: Long, val digest: Long) : FleetMessage
+
+    /**
+     * A control VM says what there is.
+     *
+     * @param version highest version of the configuration that it knows to be accepted; 0 for none.
+     * @param controls control VMs that it has heard of lately.
+     * @param entries number of entry VMs that it has heard of lately.
+     */
+    @Serializable
+    @SerialName("n")
+    public data class Notice(val version: Long, val controls: List<VmId>, val entries: Int) : FleetMessage
+
+    /** A control VM greets another one. */
+    @Serializable
+    @SerialName("g")
+    public data class Greet(val version: Long, val digest: Long, val controls: List<VmId>) : FleetMessage
+
+    /** What is known of [rows]. */
+    @Serializable
+    @SerialName("r")
+    public data class Servers(val rows: List<BackendRow>) : FleetMessage
+
+    /** Asks for the configuration if its version is above [above]. */
+    @Serializable
+    @SerialName("f")
+    public data class Fetch(val above: Long) : FleetMessage
+
+    /** The accepted configuration. */
+    @Serializable
+    @SerialName("d")
+    public class Configuration(public val document: Document) : FleetMessage
+}
--- /dev/null
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/Relay.kt
@@ -0,0 +1,167 @@
+package gentiandale.relay
+
+import gentiandale.core.Clock
+import gentiandale.core.DataCentreId
+import gentiandale.core.backend.BackendRow
+import gentiandale.core.backend.ServiceName
+import gentiandale.core.log.EventLog
+import gentiandale.relay.backend.Backend
+import gentiandale.relay.backend.BackendBook
+import gentiandale.relay.caller.CallerReply
+import gentiandale.relay.caller.CallerRequest
+import gentiandale.relay.caller.CallerService
+import gentiandale.relay.life.Call
+import gentiandale.relay.life.GenerationLife
+import gentiandale.relay.life.PlainLife
+import gentiandale.relay.life.RelayContext
+import gentiandale.relay.life.RequestLife
+import gentiandale.relay.life.endToEnd
+import gentiandale.relay.placement.GenerationPlacement
+import gentiandale.relay.placement.PlainPlacement
+import gentiandale.relay.placement.RetryBudget
+import gentiandale.relay.routing.RoutingTable
+import gentiandale.relay.routing.drawService
+import gentiandale.relay.upstream.Dialect
+import gentiandale.relay.upstream.Transport
+import gentiandale.relay.upstream.Upstreams
+import io.netty.buffer.Unpooled
+import io.netty.handler.codec.http.DefaultHttpHeaders
+import io.netty.handler.codec.http.HttpHeaderNames
+import kotlin.random.Random
+
+/**
+ * Settings of a [Relay].
+ *
+ * @param retryRatio repeated sends for each request of a service.
+ * @param retryMinimum repeated sends that are allowed in each window whatever the requests.
+ * @param retryWindowMs length of the window in milliseconds.
+ */
+public data class RelaySettings(
+    val dataCentre: DataCentreId,
+    val retryRatio: Double,
+    val retryMinimum: Int,
+    val retryWindowMs: Long,
+)
+
+/** Routes requests of callers to backend servers and passes the answers on. It is used by the event loop alone. */
+public class Relay(
+    private val settings: RelaySettings,
+    private val transport: Transport,
+    private val dialect: Dialect,
+    private val clock: Clock,
+    private val log: EventLog,
+    private val stats: RelayStats = RelayStats.NONE,
+    private val random: Random = Random.Default,
+) : CallerService {
+    private val book = BackendBook()
+    private val upstreams = Upstreams(transport, dialect, clock::monotonicMs, ::connectionShare)
+    private val budgets = HashMap<ServiceName, RetryBudget>()
+    private val lives = HashSet<RequestLife>()
+    private val context = RelayContext(
+        loop = transport.loop,
+        nowMs = clock::monotonicMs,
+        book = book,
+        upstreams = upstreams,
+        dialect = dialect,
+        plain = PlainPlacement(settings.dataCentre, random),
+        generations = GenerationPlacement(settings.dataCentre, random),
+        budgetOf = ::budgetOf,
+        random = random,
+        log = log,
+        stats = stats,
+    )
+
+    /** The routing table in force, or null before the first one. */
+    public var table: RoutingTable? = null
+        private set
+
+    /** Number of entry VMs that share budgets and connections. */
+    public var entryVms: Int = DEFAULT_ENTRY_VMS
+        set(value) {
+            field = value.coerceAtLeast(1)
+            budgets.values.forEach { it.sharers = field }
+        }
+
+    /** Digest of the known servers. */
+    public val digest: Long get() = book.digest
+
+    /** Number of servers that take work. */
+    public val readyServers: Int get() = book.readyCount
+
+    init {
+        book.onReplaced = upstreams::forget
+    }
+
+    /** Puts [newer] in force unless a newer table is, and returns whether it did. */
+    public fun use(newer: RoutingTable): Boolean {
+        if (newer.version <= (table?.version ?: Long.MIN_VALUE)) return false
+        table = newer
+        return true
+    }
+
+    /** Takes what is known of a server, and returns the rows that changed. */
+    public fun merge(row: BackendRow): List<BackendRow> = book.merge(row)
+
+    override fun serve(request: CallerRequest, reply: CallerReply): () -> Unit {
+        val present = table ?: return refuse(request, reply, UNAVAILABLE, "no configuration yet")
+        val host = request.headers.get(HttpHeaderNames.HOST).orEmpty()
+        val route = present.find(host, request.target) ?: return refuse(request, reply, NOT_FOUND, "no route")
+        val service = route.drawService(random)
+        val headers = request.headers.endToEnd().also(dialect::removeReserved)
+        val callerEndMs = dialect.deadlineMs(request.headers)?.let { request.startMs + it } ?: Long.MAX_VALUE
+        val endMs = minOf(callerEndMs, request.startMs + route.timeoutMs)
+        val call = Call(
+            request = request,
+            reply = reply,
+            headers = headers,
+            id = dialect.requestId(request.headers),
+            route = route,
+            version = present.version,
+            service = service,
+            rule = present.service(service),
+            endMs = endMs,
+            callerEndMs = endMs,
+        )
+        val life = if (route.stream) GenerationLife(call, context) else PlainLife(call, context)
+        life.start()
+        return life::onCallerLeft
+    }
+
+    private fun refuse(request: CallerRequest, reply: CallerReply, status: Int, reason: String): () -> Unit {
+        val headers = DefaultHttpHeaders()
+        if (status == UNAVAILABLE) headers.set(HttpHeaderNames.RETRY_AFTER, START_RETRY_S)
+        reply.answer(status, headers, Unpooled.EMPTY_BUFFER)
+        request.body.release()
+        val id = dialect.requestId(request.headers)
+        log.write(RelayEvent.Ended(id, null, "refused", status, reason, 0, clock.monotonicMs() - request.startMs, null))
+        stats.onUnrouted(status)
+        return { }
+    }
+
+    private fun budgetOf(service: ServiceName) = budgets.getOrPut(service) {
+        RetryBudget(settings.retryRatio, settings.retryMinimum, settings.retryWindowMs).also { it.sharers = entryVms }
+    }
+
+    private fun connectionShare(backend: Backend): Int {
+        val all = table?.service(backend.row.service)?.maxConnections ?: DEFAULT_CONNECTIONS
+        return (all * CONNECTION_SAFETY / entryVms).toInt().coerceAtLeast(MIN_CONNECTIONS)
+    }
+
+    private companion object {
+        const val UNAVAILABLE = 503
+        const val NOT_FOUND = 404
+
+        /** A VM has its configuration about a second after its start. */
+        const val START_RETRY_S = "0.5"
+
+        /** Assumed until the number of VMs is known. */
+        const val DEFAULT_ENTRY_VMS = 20
+
+        /** Connections of a service whose limit is not known. */
+        const val DEFAULT_CONNECTIONS = 100
+
+        /** Part of a server's connections that are used: closed ones count there for a moment longer. */
+        const val CONNECTION_SAFETY = 0.8
+        const val MIN_CONNECTIONS = 3
+    }
+}
--- /dev/null
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/RelayEvent.kt
@@ -0,0 +1,86 @@
+package gentiandale.relay
+
+import gentiandale.core.ServerId
+import gentiandale.core.log.LogEvent
+import gentiandale.core.log.LogLine
+
+/** Decisions of the relay. */
+public sealed class RelayEvent(override val name: String) : LogEvent {
+    override val part: String get() = "relay"
+
+    /** A request that can't be read was refused with [status]. */
+    public class Malformed(private val from: String?, private val status: Int) : RelayEvent("malformed") {
+        override fun describe(line: LogLine) {
+            line.field("from", from).field("status", status)
+        }
+    }
+
+    /** A connection of a caller was cut for [reason]. */
+    public class CallerCut(private val from: String?, private val reason: String) : RelayEvent("caller-cut") {
+        override fun describe(line: LogLine) {
+            line.field("from", from).field("reason", reason)
+        }
+    }
+
+    /**
+     * A request was sent to [server].
+     *
+     * @param step what the server is asked for.
+     * @param passedOver servers that were not considered, with the reason.
+     * @param running requests of this VM at the server when it was chosen.
+     */
+    public class Placed(
+        private val request: String?,
+        private val route: String,
+        private val version: Long,
+        private val step: String,
+        private val server: ServerId,
+        private val attempt: Int,
+        private val running: Int,
+        private val passedOver: String?,
+        private val leftMs: Long,
+    ) : RelayEvent("placed") {
+        override fun describe(line: LogLine) {
+            line.field("request", request).field("route", route).field("version", version).field("step", step)
+                .field("server", server.value).field("attempt", attempt).field("running", running)
+                .field("passed_over", passedOver).field("left_ms", leftMs)
+        }
+    }
+
+    /** A server failed or refused a request. */
+    public class SendFailed(
+        private val request: String?,
+        private val step: String,
+        private val server: ServerId,
+        private val reason: String,
+        private val elapsedMs: Long,
+    ) : RelayEvent("send-failed") {
+        override fun describe(line: LogLine) {
+            line.field("request", request).field("step", step).field("server", server.value)
+                .field("reason", reason).field("elapsed_ms", elapsedMs)
+        }
+    }
+
+    /**
+     * A request has its final answer, or its caller has left.
+     *
+     * @param outcome how it ended.
+     * @param reason why, where it did not go well.
+     */
+    public class Ended(
+        private val request: String?,
+        private val route: String?,
+        private val outcome: String,
+        private val status: Int?,
+        private val reason: String?,
+        private val attempts: Int,
+        private val elapsedMs: Long,
+        private val firstMs: Long?,
+    ) : RelayEvent("ended") {
+        override fun describe(line: LogLine) {
+            line.field("request", request).field("route", route).field("outcome", outcome).field("status", status)
+                .field("reason", reason).field("attempts", attempts).field("elapsed_ms", elapsedMs)
+                .field("first_ms", firstMs)
+        }
+    }
+}
--- /dev/null
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/backend/Backend.kt
@@ -0,0 +1,116 @@
+package gentiandale.relay.backend
+
+import gentiandale.core.ServerKind
+import gentiandale.core.backend.BackendRow
+import gentiandale.core.backend.BackendState
+
+/**
+ * A backend server as one entry VM sees it: its [row] and what requests have shown. It is used by one thread.
+ */
+public class Backend(row: BackendRow) {
+    /** What the server has last said of itself. */
+    public var row: BackendRow = row
+        internal set
+
+    /** Requests of this VM that it has not answered yet. */
+    public var running: Int = 0
+        internal set
+
+    /** Prompt tokens of this VM's requests that it has not read yet. */
+    public var promptTokens: Long = 0
+        internal set
+
+    /** Tokens of prompts and answers that this VM's requests hold in its memory, by estimate. */
+    public var memoryTokens: Long = 0
+        internal set
+
+    /** Requests, prompt tokens and memory tokens of other VMs at this server, as last reported. */
+    public var otherRunning: Int = 0
+        internal set
+
+    /** Prompt tokens of other VMs that it has not read yet, as last reported. */
+    public var otherPromptTokens: Long = 0
+        internal set
+
+    /** Memory tokens of other VMs, as last reported. */
+    public var otherMemoryTokens: Long = 0
+        internal set
+
+    /** Smoothed speed at which it reads prompts, in tokens in a millisecond. */
+    public var tokensPerMs: Double = if (row.kind == ServerKind.PREFILL) PREFILL_SPEED else DECODE_SPEED
+        private set
+
+    /** Smoothed time in milliseconds from sending a request to the head of its answer. */
+    public var latencyMs: Double = INITIAL_LATENCY_MS
+        private set
+
+    /** Smoothed share of failed requests, from 0 to 1. */
+    public var failureShare: Double = 0.0
+        private set
+
+    /** Failures in a row. */
+    public var failuresInRow: Int = 0
+        private set
+
+    /** Monotonic time in milliseconds until which it is passed over if another server is there. */
+    public var avoidUntilMs: Long = Long.MIN_VALUE
+        private set
+
+    /** Monotonic time in milliseconds of the oldest request that has waited for an answer since; null if none waits. */
+    public var waitingSinceMs: Long? = null
+        internal set
+
+    /** Whether it takes new work. */
+    public val takesWork: Boolean get() = row.state == BackendState.READY
+
+    /** Returns whether it is passed over at [nowMs] if another server is there. */
+    public fun isAvoided(nowMs: Long): Boolean = nowMs < avoidUntilMs || row.silent
+
+    /** Notes an answer whose head came after [elapsedMs] milliseconds. */
+    public fun onAnswer(elapsedMs: Long) {
+        latencyMs += LATENCY_GAIN * (elapsedMs - latencyMs)
+        failureShare -= FAILURE_GAIN * failureShare
+        failuresInRow = 0
+        avoidUntilMs = Long.MIN_VALUE
+    }
+
+    /** Notes that it has read [tokens] prompt tokens in [elapsedMs] milliseconds, beside other work. */
+    public fun onPromptRead(tokens: Long, elapsedMs: Long) {
+        if (elapsedMs <= 0 || tokens < MIN_MEASURED_TOKENS) return
+        tokensPerMs += SPEED_GAIN * (tokens.toDouble() / elapsedMs - tokensPerMs)
+    }
+
+    /** Notes a failure of the server or of the way to it at [nowMs]. */
+    public fun onFailure(nowMs: Long) {
+        failureShare += FAILURE_GAIN * (1 - failureShare)
+        failuresInRow++
+        val pauseMs = FIRST_PAUSE_MS shl (failuresInRow - 1).coerceAtMost(MAX_DOUBLINGS)
+        avoidUntilMs = nowMs + pauseMs
+    }
+
+    /** Notes that it had no room at [nowMs]. */
+    public fun onFull(nowMs: Long) {
+        avoidUntilMs = maxOf(avoidUntilMs, nowMs + FULL_PAUSE_MS)
+    }
+
+    private companion object {
+        const val INITIAL_LATENCY_MS = 25.0
+        const val LATENCY_GAIN = 0.1
+        const val FAILURE_GAIN = 0.2
+        const val SPEED_GAIN = 0.1
+
+        /** Speeds assumed until some have been measured; a decode server reads at half the speed. */
+        const val PREFILL_SPEED = 45.0
+        const val DECODE_SPEED = 22.0
+
+        /** A short prompt is read in less time than the call takes, and says nothing of the speed. */
+        const val MIN_MEASURED_TOKENS = 500L
+
+        /** First pause after a failure; each further one doubles it, up to two seconds, which bounds a recovery. */
+        const val FIRST_PAUSE_MS = 250L
+        const val MAX_DOUBLINGS = 3
+
+        /** Pause after a full queue, about the time in which a place becomes free. */
+        const val FULL_PAUSE_MS = 60L
+    }
+}
--- /dev/null
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/backend/BackendBook.kt
@@ -0,0 +1,49 @@
+package gentiandale.relay.backend
+
+import gentiandale.core.ServerId
+import gentiandale.core.backend.BackendRow
+import gentiandale.core.backend.BackendState
+import gentiandale.core.backend.BackendTable
+import gentiandale.core.backend.ServiceName
+
+/** The backend servers that one entry VM knows, by service. It is used by one thread. */
+public class BackendBook {
+    private val table = BackendTable()
+    private val backends = HashMap<ServerId, Backend>()
+
+    /** Called with a server that has ended or started anew, so that its connections can be closed. */
+    public var onReplaced: (Backend) -> Unit = {}
+
+    /** Digest of the rows, to compare with other VMs. */
+    public val digest: Long get() = table.digest()
+
+    /** Number of servers that take work. */
+    public val readyCount: Int get() = backends.values.count { it.takesWork }
+
+    /** All rows, tombstones included. */
+    public val rows: Collection<BackendRow> get() = table.all
+
+    /** Returns the servers of [service] that take new work. */
+    public fun ready(service: ServiceName): List<Backend> =
+        backends.values.filter { it.row.service == service && it.takesWork }
+
+    /** Takes [row] and returns the rows that changed. */
+    public fun merge(row: BackendRow): List<BackendRow> {
+        val changed = table.merge(row)
+        changed.forEach(::apply)
+        return changed
+    }
+
+    private fun apply(row: BackendRow) {
+        val known = backends[row.id]
+        if (known != null && (known.row.incarnation != row.incarnation || known.row.address != row.address)) {
+            backends.remove(row.id)
+            onReplaced(known)
+        }
+        if (row.state == BackendState.GONE) {
+            backends.remove(row.id)?.let { it.row = row }
+        } else {
+            backends.getOrPut(row.id) { Backend(row) }.row = row
+        }
+    }
+}
--- /dev/null
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/caller/CallerConnection.kt
@@ -0,0 +1,270 @@
+package gentiandale.relay.caller
+
+import gentiandale.core.log.EventLog
+import gentiandale.relay.RelayEvent
+import gentiandale.relay.routing.CallerLimits
+import io.netty.buffer.ByteBuf
+import io.netty.buffer.CompositeByteBuf
+import io.netty.buffer.Unpooled
+import io.netty.channel.Channel
+import io.netty.channel.ChannelFutureListener
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.channel.socket.DuplexChannel
+import io.netty.handler.codec.http.DefaultFullHttpResponse
+import io.netty.handler.codec.http.DefaultHttpContent
+import io.netty.handler.codec.http.DefaultHttpHeaders
+import io.netty.handler.codec.http.DefaultHttpResponse
+import io.netty.handler.codec.http.HttpContent
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaderValues
+import io.netty.handler.codec.http.HttpHeaders
+import io.netty.handler.codec.http.HttpObject
+import io.netty.handler.codec.http.HttpRequest
+import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.HttpVersion
+import io.netty.handler.codec.http.LastHttpContent
+import io.netty.handler.codec.http.TooLongHttpHeaderException
+import io.netty.handler.codec.http.TooLongHttpLineException
+import io.netty.util.ReferenceCountUtil
+import java.util.concurrent.ScheduledFuture
+import java.util.concurrent.TimeUnit
+
+/**
+ * One connection of a caller. Requests are read as a whole and served one after the other; further ones wait. The
+ * connection is read all the time, so that a caller that leaves is noticed at once.
+ */
+internal class CallerConnection(
+    private val channel: Channel,
+    private val limits: CallerLimits,
+    private val service: CallerService,
+    private val server: CallerServer,
+    private val log: EventLog,
+) : ChannelInboundHandlerAdapter() {
+    private val waiting = ArrayDeque<HttpObject>()
+    private var head: HttpRequest? = null
+    private var headMs = 0L
+    private var body: CompositeByteBuf? = null
+    private var current: Reply? = null
+    private var timer: ScheduledFuture<*>? = null
+    private var isClosing = false
+
+    /** Whether a request is being read or served. */
+    val isBusy: Boolean get() = head != null || current != null || waiting.isNotEmpty()
+
+    override fun handlerAdded(ctx: ChannelHandlerContext) {
+        server.onOpened(this)
+        startTimer(limits.headerTimeoutMs, ::onNoRequest)
+    }
+
+    override fun channelRead(ctx: ChannelHandlerContext, message: Any) {
+        val part = message as HttpObject
+        when {
+            isClosing -> ReferenceCountUtil.release(part)
+            current == null -> take(part)
+            waiting.size < MAX_WAITING_PARTS -> waiting.addLast(part)
+            else -> {
+                ReferenceCountUtil.release(part)
+                abort("too many requests at once on a connection")
+            }
+        }
+    }
+
+    override fun channelInactive(ctx: ChannelHandlerContext) {
+        isClosing = true
+        timer?.cancel(false)
+        val served = current
+        current = null
+        server.onClosed(this)
+        served?.leave?.invoke()
+        head = null
+        body?.release()
+        body = null
+        waiting.forEach(ReferenceCountUtil::release)
+        waiting.clear()
+    }
+
+    override fun exceptionCaught(ctx: ChannelHandlerContext, cause: Throwable) {
+        ctx.close()
+    }
+
+    /** Closes the connection unless a request is on it. */
+    fun closeIfIdle() {
+        if (!isBusy) channel.close()
+    }
+
+    private fun take(part: HttpObject) {
+        try {
+            if (part.decoderResult().isFailure) return refuseMalformed(part.decoderResult().cause())
+            if (part is HttpRequest) begin(part)
+            if (part is HttpContent && head != null) append(part)
+        } finally {
+            ReferenceCountUtil.release(part)
+        }
+    }
+
+    private fun begin(request: HttpRequest) {
+        head = request
+        headMs = server.nowMs()
+        body = Unpooled.compositeBuffer(MAX_BODY_PARTS)
+        startTimer(limits.idleTimeoutMs, ::onStalledBody)
+        if (HttpUtil.is100ContinueExpected(request)) {
+            channel.writeAndFlush(
+                DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER),
+            )
+        }
+        if (HttpUtil.getContentLength(request, 0L) > limits.maxBodyBytes) refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE)
+    }
+
+    private fun append(part: HttpContent) {
+        val collected = body ?: return
+        if (collected.readableBytes() + part.content().readableBytes() > limits.maxBodyBytes) {
+            return refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE)
+        }
+        if (part.content().isReadable) collected.addComponent(true, part.content().retain())
+        if (part is LastHttpContent) serve()
+    }
+
+    private fun serve() {
+        val request = head ?: return
+        val collected = body ?: return
+        head = null
+        body = null
+        timer?.cancel(false)
+        val reply = Reply(HttpUtil.isKeepAlive(request), request.protocolVersion() == HttpVersion.HTTP_1_0)
+        current = reply
+        val whole = CallerRequest(request.method(), request.uri(), request.headers(), collected, headMs)
+        val leave = service.serve(whole, reply)
+        if (current === reply) reply.leave = leave
+    }
+
+    private fun onAnswered(keep: Boolean) {
+        current = null
+        if (!keep || isClosing) return
+        startTimer(limits.idleTimeoutMs, ::onIdle)
+        while (current == null && !isClosing) take(waiting.removeFirstOrNull() ?: return)
+    }
+
+    private fun refuseMalformed(cause: Throwable) = refuse(
+        when (cause) {
+            is TooLongHttpHeaderException -> HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
+            is TooLongHttpLineException -> HttpResponseStatus.REQUEST_URI_TOO_LONG
+            else -> HttpResponseStatus.BAD_REQUEST
+        },
+    )
+
+    /** Answers with [status], and closes once the caller has had the time to read it. */
+    private fun refuse(status: HttpResponseStatus) {
+        log.write(RelayEvent.Malformed(channel.remoteAddress()?.toString(), status.code()))
+        isClosing = true
+        head = null
+        body?.release()
+        body = null
+        val answer = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER)
+        answer.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0).set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
+        channel.writeAndFlush(answer).addListener { closeSoon() }
+    }
+
+    /** Ends the own direction first: closing with unread bytes would reset the answer away. */
+    private fun closeSoon() {
+        (channel as DuplexChannel).shutdownOutput()
+        startTimer(LINGER_MS) { channel.close() }
+    }
+
+    private fun abort(reason: String) {
+        log.write(RelayEvent.CallerCut(channel.remoteAddress()?.toString(), reason))
+        isClosing = true
+        channel.close()
+    }
+
+    private fun onNoRequest() {
+        if (head == null && current == null) abort("no request within the header timeout")
+    }
+
+    private fun onStalledBody() {
+        if (head != null) abort("a request that stalled")
+    }
+
+    private fun onIdle() {
+        if (!isBusy) channel.close()
+    }
+
+    private fun startTimer(delayMs: Long, action: () -> Unit) {
+        timer?.cancel(false)
+        timer = channel.eventLoop().schedule(action, delayMs, TimeUnit.MILLISECONDS)
+    }
+
+    private inner class Reply(private val keepAlive: Boolean, private val isOld: Boolean) : CallerReply {
+        var leave: (() -> Unit)? = null
+        private var isDone = false
+
+        override val isOpen: Boolean get() = !isDone && current === this && channel.isActive
+
+        override fun answer(status: Int, headers: HttpHeaders, body: ByteBuf) {
+            if (!isOpen) {
+                body.release()
+                return
+            }
+            val answer = DefaultFullHttpResponse(
+                HttpVersion.HTTP_1_1,
+                HttpResponseStatus.valueOf(status),
+                body,
+                headers,
+                DefaultHttpHeaders(),
+            )
+            headers.set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes())
+            finish(answer, keep = prepare(headers))
+        }
+
+        override fun begin(status: Int, headers: HttpHeaders) {
+            if (!isOpen) return
+            if (!isOld) headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED)
+            keepsAlive = prepare(headers) && !isOld
+            if (!keepsAlive) headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
+            channel.writeAndFlush(DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), headers))
+        }
+
+        override fun part(content: ByteBuf) {
+            if (isOpen) channel.writeAndFlush(DefaultHttpContent(content)) else content.release()
+        }
+
+        override fun end() {
+            if (isOpen) finish(LastHttpContent.EMPTY_LAST_CONTENT, keepsAlive)
+        }
+
+        override fun abort() {
+            if (!isOpen) return
+            isDone = true
+            current = null
+            isClosing = true
+            channel.close()
+        }
+
+        private var keepsAlive = false
+
+        private fun prepare(headers: HttpHeaders): Boolean {
+            val keep = keepAlive && !server.isDraining
+            if (!keep) headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
+            if (keep && isOld) headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.KEEP_ALIVE)
+            return keep
+        }
+
+        private fun finish(last: HttpObject, keep: Boolean) {
+            isDone = true
+            if (!keep) isClosing = true
+            val written = channel.writeAndFlush(last)
+            if (!keep) written.addListener(ChannelFutureListener { closeSoon() })
+            onAnswered(keep)
+        }
+    }
+
+    private companion object {
+        /** Parts of requests that wait behind the one that is served. */
+        const val MAX_WAITING_PARTS = 64
+        const val MAX_BODY_PARTS = 1_024
+
+        /** Time for the caller to read the last answer, in milliseconds. */
+        const val LINGER_MS = 500L
+    }
+}
--- /dev/null
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/caller/CallerServer.kt
@@ -0,0 +1,70 @@
+package gentiandale.relay.caller
+
+import gentiandale.core.Address
+import gentiandale.core.log.EventLog
+import gentiandale.relay.routing.CallerLimits
+import gentiandale.relay.upstream.Transport
+import io.netty.channel.Channel
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.socket.SocketChannel
+import io.netty.handler.codec.http.HttpResponseEncoder
+
+/**
+ * Accepts connections of callers.
+ *
+ * @param limits returns the limits for a new connection.
+ */
+public class CallerServer(
+    private val transport: Transport,
+    internal val nowMs: () -> Long,
+    private val limits: () -> CallerLimits,
+    private val service: CallerService,
+    private val log: EventLog,
+) {
+    private val connections = LinkedHashSet<CallerConnection>()
+    private var listening: Channel? = null
+
+    /** Whether answers ask callers to leave the connection. It is set on the event loop. */
+    public var isDraining: Boolean = false
+
+    /** Connections that are open. It is read on the event loop. */
+    public val openCount: Int get() = connections.size
+
+    /** Whether a request is being read or served. It is read on the event loop. */
+    public val isBusy: Boolean get() = connections.any { it.isBusy }
+
+    /** Starts to listen on [address] and returns the port. */
+    public fun listen(address: Address): Int {
+        val bootstrap = transport.server().childHandler(object : ChannelInitializer<SocketChannel>() {
+            override fun initChannel(channel: SocketChannel) {
+                val present = limits()
+                channel.pipeline().addLast(
+                    CallerRequestDecoder(present),
+                    HttpResponseEncoder(),
+                    CallerConnection(channel, present, service, this@CallerServer, log),
+                )
+            }
+        })
+        val bound = bootstrap.bind(address.host, address.port).sync().channel()
+        listening = bound
+        return (bound.localAddress() as java.net.InetSocketAddress).port
+    }
+
+    /** Closes the connections that carry no request. It is called on the event loop. */
+    public fun closeIdle() {
+        connections.toList().forEach { it.closeIfIdle() }
+    }
+
+    /** Stops to listen. */
+    public fun close() {
+        listening?.close()
+    }
+
+    internal fun onOpened(connection: CallerConnection) {
+        connections += connection
+    }
+
+    internal fun onClosed(connection: CallerConnection) {
+        connections -= connection
+    }
+}
--- /dev/null
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/life/RequestLife.kt
@@ -0,0 +1,280 @@
+package gentiandale.relay.life
+
+import gentiandale.core.ServerId
+import gentiandale.relay.RelayEvent
+import gentiandale.relay.backend.Backend
+import gentiandale.relay.routing.Repetition
+import gentiandale.relay.upstream.AnswerListener
+import gentiandale.relay.upstream.Exchange
+import gentiandale.relay.upstream.SendFailure
+import io.netty.buffer.ByteBuf
+import io.netty.buffer.Unpooled
+import io.netty.handler.codec.http.DefaultFullHttpRequest
+import io.netty.handler.codec.http.DefaultHttpHeaders
+import io.netty.handler.codec.http.FullHttpRequest
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaders
+import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpVersion
+import io.netty.util.concurrent.ScheduledFuture
+import java.util.concurrent.TimeUnit
+
+/** What may be said of a request that gets no answer of a server. */
+internal enum class RunState {
+    /** No server has begun it. */
+    NOT_RUN,
+
+    /** A server may have begun it. */
+    MAY_HAVE_RUN,
+}
+
+/**
+ * One request from its route to its final answer. A refusal is given only while no server can have begun; after that a
+ * request without an answer ends as a failure, which promises nothing.
+ */
+internal abstract class RequestLife(protected val call: Call, protected val context: RelayContext) {
+    protected val route get() = call.route
+    protected val tried = HashSet<ServerId>()
+    protected var runState = RunState.NOT_RUN
+    protected var attempts = 0
+    protected var isOver = false
+        private set
+    protected var firstMs: Long? = null
+    private var lastReason: String? = null
+    private var sends = 0
+    private var endTimer: ScheduledFuture<*>? = null
+    private val running = ArrayList<Send>(2)
+
+    /** Chooses a server and sends the request, or ends the life. */
+    protected abstract fun proceed()
+
+    /** Frees what the life holds at servers. */
+    protected abstract fun release()
+
+    /** Starts the life. */
+    fun start() {
+        val leftMs = call.endMs - context.nowMs()
+        endTimer = context.loop.schedule(::onEndOfTime, leftMs.coerceAtLeast(0), TimeUnit.MILLISECONDS)
+        context.budgetOf(call.service).onRequest(context.nowMs())
+        proceed()
+    }
+
+    /** Notes that the caller has left. */
+    fun onCallerLeft() {
+        if (!isOver) finish("caller-left", null, "the caller closed its connection")
+    }
+
+    protected fun leftMs(): Long = call.callerEndMs - context.nowMs()
+
+    private fun onEndOfTime() {
+        if (isOver) return
+        val reason = lastReason ?: "no answer in time"
+        if (call.reply.isOpen && !hasBegun()) answerOwn(GATEWAY_TIMEOUT, "timed-out", reason) else cut("timed-out: $reason")
+    }
+
+    /** Whether a part of the answer has left. */
+    protected abstract fun hasBegun(): Boolean
+
+    /** Refuses the request: it has not run and never will. The caller may come back after [retryAfterMs]. */
+    protected fun refuse(reason: String, retryAfterMs: Long) {
+        if (runState != RunState.NOT_RUN) return fail(reason)
+        val headers = DefaultHttpHeaders()
+        val jitter = context.random.nextLong(retryAfterMs / 2 + 1)
+        headers.set(HttpHeaderNames.RETRY_AFTER, "%.3f".format(java.util.Locale.ROOT, (retryAfterMs + jitter) / MS_PER_S))
+        isOver = true
+        call.reply.answer(UNAVAILABLE, headers, Unpooled.EMPTY_BUFFER)
+        close("refused", UNAVAILABLE, reason)
+    }
+
+    /** Ends the request without an answer of a server, or cuts an answer that has begun. */
+    protected fun fail(reason: String) {
+        if (hasBegun()) cut(reason) else answerOwn(BAD_GATEWAY, "failed", reason)
+    }
+
+    private fun answerOwn(status: Int, outcome: String, reason: String) {
+        isOver = true
+        call.reply.answer(status, DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER)
+        close(outcome, status, reason)
+    }
+
+    private fun cut(reason: String) {
+        isOver = true
+        call.reply.abort()
+        close("cut", null, reason)
+    }
+
+    /** Notes that the whole answer has been passed on. */
+    protected fun finish(outcome: String, status: Int?, reason: String? = null) {
+        isOver = true
+        close(outcome, status, reason)
+    }
+
+    private fun close(outcome: String, status: Int?, reason: String?) {
+        isOver = true
+        endTimer?.cancel(false)
+        running.toList().forEach { it.cancel() }
+        release()
+        call.request.body.release()
+        val elapsedMs = context.nowMs() - call.request.startMs
+        context.log.write(RelayEvent.Ended(call.id, route.name, outcome, status, reason, attempts, elapsedMs, firstMs))
+        context.stats.onEnded(route.name, route.urgency, outcome, elapsedMs, firstMs)
+    }
+
+    /** Whether the request may be sent to one more server after one may have begun it. */
+    protected fun mayRepeat(): Boolean =
+        (runState == RunState.NOT_RUN || route.repetition != Repetition.AT_MOST_ONCE) && attempts < route.maxAttempts
+
+    /** Takes one repeated send from the budget that all VMs share; the first send is free. */
+    protected fun takeBudget(): Boolean {
+        if (sends == 0) return true
+        val allowed = context.budgetOf(call.service).take(context.nowMs())
+        context.stats.onRepeat(call.service.value, allowed)
+        return allowed
+    }
+
+    /** Notes a send that counts against the budget from now on. */
+    protected fun onBudgetedSend() {
+        sends++
+    }
+
+    /** Returns the request to write now, with [change] made to its headers. */
+    protected fun outbound(server: Backend, change: (HttpHeaders) -> Unit): FullHttpRequest {
+        val body = call.request.body.retainedDuplicate()
+        val request = DefaultFullHttpRequest(HttpVersion.HTTP_1_1, call.request.method, call.request.target, body)
+        request.headers().set(call.headers)
+        val urgency = route.urgency.takeIf { call.rule?.engine != null }
+        context.dialect.address(request.headers(), leftMs().coerceAtLeast(1), server.row.id, urgency)
+        if (body.isReadable || call.request.method == HttpMethod.POST || call.request.method == HttpMethod.PUT) {
+            request.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes())
+        }
+        change(request.headers())
+        return request
+    }
+
+    /** Sends to [server] and reports to [handler]. */
+    protected fun send(server: Backend, step: String, maxIdleMs: Long, handler: SendHandler): Send {
+        val send = Send(server, step, handler)
+        running += send
+        val passedOver = tried.joinToString(",") { it.value }.ifEmpty { null }
+        context.log.write(
+            RelayEvent.Placed(
+                call.id, route.name, call.version, step, server.row.id, attempts, server.running, passedOver, leftMs(),
+            ),
+        )
+        server.running++
+        send.exchange = context.upstreams.send(server, call.id, maxIdleMs, send)
+        return send
+    }
+
+    /** Reports of one send. [onHead] returns whether the body is wanted. */
+    protected interface SendHandler {
+        /** Returns the request to write now. */
+        fun request(): FullHttpRequest
+
+        /** Takes status and headers. */
+        fun onHead(head: HttpResponse)
+
+        /** Takes a part of the body. */
+        fun onContent(content: ByteBuf)
+
+        /** Notes the end of a complete answer. */
+        fun onEnd()
+
+        /** Notes that no whole answer will come. */
+        fun onFailure(failure: SendFailure)
+
+        /** Notes that the answer is not waited for any more. */
+        fun onDropped()
+    }
+
+    /** One send of this request to one server. */
+    protected inner class Send(
+        val server: Backend,
+        private val step: String,
+        val handler: SendHandler,
+    ) : AnswerListener {
+        var exchange: Exchange? = null
+        private var sentMs: Long? = null
+        private var timer: ScheduledFuture<*>? = null
+        private var isDone = false
+
+        /** Calls [action] after [delayMs] milliseconds unless the answer has begun by then. */
+        fun onSilence(delayMs: Long, action: () -> Unit) {
+            timer?.cancel(false)
+            timer = context.loop.schedule({ if (!isDone) action() }, delayMs, TimeUnit.MILLISECONDS)
+        }
+
+        /** Gives up on the answer; the server stops when it sees the connection closed. */
+        fun cancel() {
+            if (isDone) return
+            done()
+            exchange?.cancel()
+            handler.onDropped()
+        }
+
+        /** Notes a failure that the handler has seen in the answer itself. */
+        fun failed(reason: String) {
+            server.onFailure(context.nowMs())
+            logFailure(reason)
+        }
+
+        /** Writes why this send did not help. */
+        fun logFailure(reason: String) {
+            lastReason = "${server.row.id}: $reason"
+            val elapsedMs = sentMs?.let { context.nowMs() - it } ?: 0
+            context.log.write(RelayEvent.SendFailed(call.id, step, server.row.id, reason, elapsedMs))
+        }
+
+        override fun onConnected(): FullHttpRequest? {
+            if (isDone || isOver) return null
+            if (!server.takesWork || leftMs() <= 0) {
+                onFailure(SendFailure.NotSent("the server takes no work any more"))
+                return null
+            }
+            sentMs = context.nowMs()
+            if (server.waitingSinceMs == null) server.waitingSinceMs = sentMs
+            return handler.request()
+        }
+
+        override fun onHead(head: HttpResponse) {
+            if (isDone) return
+            timer?.cancel(false)
+            sentMs?.let { server.onAnswer(context.nowMs() - it) }
+            server.waitingSinceMs = null
+            handler.onHead(head)
+        }
+
+        override fun onContent(content: ByteBuf) {
+            if (!isDone) handler.onContent(content)
+        }
+
+        override fun onEnd() {
+            if (isDone) return
+            done()
+            handler.onEnd()
+        }
+
+        override fun onFailure(failure: SendFailure) {
+            if (isDone) return
+            done()
+            failed(failure.reason)
+            handler.onFailure(failure)
+        }
+
+        private fun done() {
+            isDone = true
+            timer?.cancel(false)
+            running -= this
+            server.running--
+            if (server.running == 0) server.waitingSinceMs = null
+        }
+    }
+
+    protected companion object {
+        const val UNAVAILABLE = 503
+        const val BAD_GATEWAY = 502
+        const val GATEWAY_TIMEOUT = 504
+        const val MS_PER_S = 1_000.0
+    }
+}
--- /dev/null
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/routing/ServiceRule.kt
@@ -0,0 +1,26 @@
+package gentiandale.relay.routing
+
+import gentiandale.core.backend.ServiceName
+
+/**
+ * Facts of a model engine that all servers of a service share.
+ *
+ * @param places requests in one batch.
+ * @param memoryTokens tokens of prompts and answers that its memory holds.
+ * @param tokenBytes size of the KV cache of one token.
+ * @param handleLifetimeMs time in milliseconds for which the result of a prefill is kept.
+ */
+public data class EngineRule(
+    val places: Int,
+    val memoryTokens: Int,
+    val tokenBytes: Long,
+    val handleLifetimeMs: Long,
+)
+
+/**
+ * A service that routes lead to.
+ *
+ * @param maxConnections connections that one of its servers accepts from all VMs together.
+ * @param engine facts of its engines; null for a plain service.
+ */
+public data class ServiceRule(val name: ServiceName, val maxConnections: Int, val engine: EngineRule?)
--- /dev/null
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/upstream/ServerPool.kt
@@ -0,0 +1,114 @@
+package gentiandale.relay.upstream
+
+import gentiandale.core.Address
+import io.netty.channel.ChannelFuture
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.socket.SocketChannel
+import io.netty.handler.codec.http.HttpRequestEncoder
+import io.netty.handler.codec.http.HttpResponseDecoder
+
+/**
+ * Connections to one backend server. The one that was used last is used first, so that surplus ones grow old and close.
+ *
+ * @param maxConnections returns the most connections that this VM may have to the server.
+ */
+internal class ServerPool(
+    private val address: Address,
+    private val transport: Transport,
+    private val dialect: Dialect,
+    val nowMs: () -> Long,
+    private val maxConnections: () -> Int,
+) {
+    private val idle = ArrayDeque<UpstreamConnection>()
+    private var open = 0
+    private var isClosed = false
+
+    /** Connections that stand or are being made. */
+    val size: Int get() = open
+
+    /**
+     * Sends the request of [exchange] over an idle connection that has rested for at most [maxIdleMs] milliseconds, or
+     * over a new one.
+     */
+    fun send(exchange: Exchange, maxIdleMs: Long) {
+        val ready = takeIdle(maxIdleMs)
+        when {
+            ready != null -> start(exchange, ready)
+            open >= maxConnections() && !closeOneIdle() -> refuse(exchange, "all connections are in use")
+            else -> connect(exchange)
+        }
+    }
+
+    fun onIdle(connection: UpstreamConnection) {
+        if (isClosed) connection.close() else idle.addLast(connection)
+    }
+
+    fun onClosed(connection: UpstreamConnection) {
+        open--
+        idle.remove(connection)
+    }
+
+    /** Closes idle connections now and the others after their answer. */
+    fun close() {
+        isClosed = true
+        idle.toList().forEach { it.close() }
+    }
+
+    private fun takeIdle(maxIdleMs: Long): UpstreamConnection? {
+        val now = nowMs()
+        while (idle.isNotEmpty()) {
+            val last = idle.removeLast()
+            if (last.isUsable && now < last.usableUntilMs && now - last.idleSinceMs <= maxIdleMs) return last
+            last.close()
+        }
+        return null
+    }
+
+    private fun closeOneIdle(): Boolean {
+        val oldest = idle.removeFirstOrNull() ?: return false
+        oldest.close()
+        return true
+    }
+
+    private fun connect(exchange: Exchange) {
+        open++
+        val bootstrap = transport.client(CONNECT_TIMEOUT_MS).handler(object : ChannelInitializer<SocketChannel>() {
+            override fun initChannel(channel: SocketChannel) {
+                channel.pipeline().addLast(
+                    HttpRequestEncoder(),
+                    HttpResponseDecoder(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES),
+                    UpstreamConnection(channel, dialect, this@ServerPool),
+                )
+            }
+        })
+        bootstrap.connect(address.host, address.port).addListener { onConnected(exchange, it as ChannelFuture) }
+    }
+
+    private fun onConnected(exchange: Exchange, future: ChannelFuture) {
+        if (!future.isSuccess) {
+            open--
+            return refuse(exchange, "no connection: ${future.cause()?.message}")
+        }
+        start(exchange, future.channel().pipeline().get(UpstreamConnection::class.java))
+    }
+
+    private fun start(exchange: Exchange, connection: UpstreamConnection) {
+        val request = if (exchange.isOver) null else exchange.listener.onConnected()
+        if (request == null) return onIdle(connection)
+        connection.send(exchange, request)
+    }
+
+    private fun refuse(exchange: Exchange, reason: String) {
+        if (exchange.isOver) return
+        exchange.isOver = true
+        exchange.listener.onFailure(SendFailure.NotSent(reason))
+    }
+
+    private companion object {
+        /** Several round trips between data centres; a lost first packet would be repeated only after a second. */
+        const val CONNECT_TIMEOUT_MS = 250
+        const val MAX_LINE_BYTES = 4_096
+        const val MAX_HEADER_BYTES = 65_536
+        const val MAX_CHUNK_BYTES = 65_536
+    }
+}
--- /dev/null
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/upstream/Transport.kt
@@ -0,0 +1,67 @@
+package gentiandale.relay.upstream
+
+import io.netty.bootstrap.Bootstrap
+import io.netty.bootstrap.ServerBootstrap
+import io.netty.channel.ChannelOption
+import io.netty.channel.EventLoop
+import io.netty.channel.EventLoopGroup
+import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.epoll.EpollChannelOption
+import io.netty.channel.epoll.EpollIoHandler
+import io.netty.channel.epoll.EpollServerSocketChannel
+import io.netty.channel.epoll.EpollSocketChannel
+
+/**
+ * The one event loop of a process and its sockets. Unacknowledged bytes and unanswered probes end a connection, so
+ * that one that went silent is noticed.
+ */
+public class Transport : AutoCloseable {
+    private val group: EventLoopGroup = MultiThreadIoEventLoopGroup(1, EpollIoHandler.newFactory())
+
+    /** The thread that everything of the relay runs on. */
+    public val loop: EventLoop = group.next()
+
+    /** Returns a bootstrap of connections to backend servers. */
+    internal fun client(connectTimeoutMs: Int): Bootstrap = Bootstrap()
+        .group(loop)
+        .channel(EpollSocketChannel::class.java)
+        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMs)
+        .option(ChannelOption.TCP_NODELAY, true)
+        .option(EpollChannelOption.TCP_USER_TIMEOUT, SERVER_SILENCE_MS)
+        .option(ChannelOption.SO_KEEPALIVE, true)
+        .option(EpollChannelOption.TCP_KEEPIDLE, PROBE_AFTER_S)
+        .option(EpollChannelOption.TCP_KEEPINTVL, PROBE_AFTER_S)
+        .option(EpollChannelOption.TCP_KEEPCNT, PROBES)
+
+    /** Returns a bootstrap of a listening socket. */
+    public fun server(): ServerBootstrap = ServerBootstrap()
+        .group(loop)
+        .channel(EpollServerSocketChannel::class.java)
+        .option(ChannelOption.SO_REUSEADDR, true)
+        .option(ChannelOption.SO_BACKLOG, BACKLOG)
+        .childOption(ChannelOption.TCP_NODELAY, true)
+        .childOption(EpollChannelOption.TCP_USER_TIMEOUT, CALLER_SILENCE_MS)
+        .childOption(ChannelOption.SO_KEEPALIVE, true)
+        .childOption(EpollChannelOption.TCP_KEEPIDLE, PROBE_AFTER_S)
+        .childOption(EpollChannelOption.TCP_KEEPINTVL, PROBE_AFTER_S)
+        .childOption(EpollChannelOption.TCP_KEEPCNT, PROBES)
+
+    override fun close() {
+        group.shutdownGracefully(0, 0, java.util.concurrent.TimeUnit.MILLISECONDS)
+    }
+
+    private companion object {
+        /** Two repeats of a lost packet between data centres fit in. */
+        const val SERVER_SILENCE_MS = 1_000
+
+        /** Callers are further away and lose more packets. */
+        const val CALLER_SILENCE_MS = 5_000
+
+        /** Idle time before the first probe, and between probes, in seconds; the shortest the system takes is one. */
+        const val PROBE_AFTER_S = 2
+        const val PROBES = 2
+
+        /** New connections of a burst that wait for the event loop. */
+        const val BACKLOG = 1_024
+    }
+}
--- /dev/null
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/upstream/UpstreamConnection.kt
@@ -0,0 +1,167 @@
+package gentiandale.relay.upstream
+
+import io.netty.channel.Channel
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.handler.codec.http.FullHttpRequest
+import io.netty.handler.codec.http.HttpContent
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpObject
+import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpStatusClass
+import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.LastHttpContent
+import io.netty.util.ReferenceCountUtil
+
+/**
+ * One connection to a backend server. It carries one request at a time. Answers that name another request are read and
+ * dropped; a connection that has seen one, or surplus bytes, or a broken answer, is not used again.
+ */
+internal class UpstreamConnection(
+    private val channel: Channel,
+    private val dialect: Dialect,
+    private val pool: ServerPool,
+) : ChannelInboundHandlerAdapter() {
+    private var exchange: Exchange? = null
+    private var requestWritten = false
+    private var answered = false
+    private var inForeignAnswer = false
+    private var inInterimAnswer = false
+    private var isReset = false
+    private var isTainted = false
+    private var used = 0
+
+    /** Time in milliseconds for which the server keeps the connection when it is idle. */
+    private var keepMs = UNSTATED_KEEP_MS
+
+    /** Monotonic time in milliseconds until which it may be used again. */
+    var usableUntilMs = Long.MAX_VALUE
+        private set
+
+    /** Monotonic time in milliseconds since which it has been idle. */
+    var idleSinceMs = 0L
+        private set
+
+    val isUsable: Boolean get() = channel.isActive && !isTainted && exchange == null
+
+    /** Writes the request of [next]; its answer goes to the listener. */
+    fun send(next: Exchange, request: FullHttpRequest) {
+        exchange = next
+        next.connection = this
+        next.isSent = true
+        requestWritten = false
+        answered = false
+        used++
+        channel.writeAndFlush(request).addListener {
+            requestWritten = it.isSuccess
+            if (it.isSuccess) settle() else fail("write failed: ${it.cause()?.message}")
+        }
+    }
+
+    fun close() {
+        isTainted = true
+        channel.close()
+    }
+
+    override fun channelRead(ctx: ChannelHandlerContext, message: Any) {
+        try {
+            read(message as HttpObject)
+        } finally {
+            ReferenceCountUtil.release(message)
+        }
+    }
+
+    private fun read(message: HttpObject) {
+        val current = exchange?.takeIf { !answered }
+        when {
+            message.decoderResult().isFailure -> fail("not an answer: ${message.decoderResult().cause()?.message}")
+            current == null -> isTainted = true
+            message is HttpResponse -> readHead(current, message)
+            else -> Unit
+        }
+        if (message is HttpContent && exchange != null && !answered) readContent(message)
+    }
+
+    private fun readHead(current: Exchange, head: HttpResponse) {
+        inInterimAnswer = head.status().codeClass() == HttpStatusClass.INFORMATIONAL
+        if (inInterimAnswer) return
+        val answersId = dialect.requestId(head.headers())
+        val unnamed = answersId == null && used == 1 && head.status().codeClass() != HttpStatusClass.SUCCESS
+        inForeignAnswer = current.requestId != null && answersId != current.requestId && !unnamed
+        if (inForeignAnswer) {
+            isTainted = true
+            if (answersId == null) fail("an answer without the id of the request")
+            return
+        }
+        noteKeepAlive(head)
+        if (!current.isOver) current.listener.onHead(head)
+    }
+
+    private fun readContent(part: HttpContent) {
+        val current = exchange ?: return
+        val own = !inForeignAnswer && !inInterimAnswer
+        if (own && !current.isOver && part.content().isReadable) current.listener.onContent(part.content())
+        if (part !is LastHttpContent) return
+        val ended = own
+        inForeignAnswer = false
+        inInterimAnswer = false
+        if (!ended) return
+        if (isReset) return fail("reset")
+        answered = true
+        if (!current.isOver) {
+            current.isOver = true
+            current.listener.onEnd()
+        }
+    }
+
+    override fun channelReadComplete(ctx: ChannelHandlerContext) = settle()
+
+    /** Returns the connection to the pool once the answer is in and the request is out as a whole. */
+    private fun settle() {
+        if (!answered || !requestWritten || exchange == null) return
+        exchange = null
+        idleSinceMs = pool.nowMs()
+        usableUntilMs = idleSinceMs + keepMs
+        if (isTainted) channel.close() else pool.onIdle(this)
+    }
+
+    override fun exceptionCaught(ctx: ChannelHandlerContext, cause: Throwable) {
+        isReset = true
+        isTainted = true
+        ctx.close()
+    }
+
+    override fun channelInactive(ctx: ChannelHandlerContext) {
+        fail(if (isReset) "reset" else "closed")
+        pool.onClosed(this)
+    }
+
+    private fun fail(reason: String) {
+        isTainted = true
+        val current = exchange
+        exchange = null
+        channel.close()
+        if (current == null || current.isOver) return
+        current.isOver = true
+        current.listener.onFailure(SendFailure.Broken(reason))
+    }
+
+    private fun noteKeepAlive(head: HttpResponse) {
+        if (!HttpUtil.isKeepAlive(head)) isTainted = true
+        val stated = head.headers().get(KEEP_ALIVE)?.substringAfter("timeout=", "")?.takeWhile(Char::isDigit)
+        val seconds = stated?.toLongOrNull()
+        keepMs = if (seconds == null) UNSTATED_KEEP_MS else (seconds * MS_PER_S - KEEP_MARGIN_MS).coerceAtLeast(0)
+        if (head.headers().contains(HttpHeaderNames.UPGRADE)) isTainted = true
+    }
+
+    private companion object {
+        const val KEEP_ALIVE = "Keep-Alive"
+        const val MS_PER_S = 1_000L
+
+        /** A server that states no whole seconds closes an idle connection within the first second. */
+        const val UNSTATED_KEEP_MS = 300L
+
+        /** Way of the close between data centres, with room for a late timer. */
+        const val KEEP_MARGIN_MS = 400L
+    }
+}
--- /dev/null
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/upstream/Upstreams.kt
@@ -0,0 +1,35 @@
+package gentiandale.relay.upstream
+
+import gentiandale.core.Address
+import gentiandale.core.ServerId
+import gentiandale.relay.backend.Backend
+
+/** Connections to all backend servers. It is used by the event loop alone. */
+internal class Upstreams(
+    private val transport: Transport,
+    private val dialect: Dialect,
+    private val nowMs: () -> Long,
+    private val maxConnections: (Backend) -> Int,
+) {
+    private data class Key(val id: ServerId, val address: Address, val incarnation: Long)
+
+    private val pools = HashMap<Key, ServerPool>()
+
+    /** Sends a request to [backend] over a connection that has been idle for at most [maxIdleMs] milliseconds. */
+    fun send(backend: Backend, requestId: String?, maxIdleMs: Long, listener: AnswerListener): Exchange {
+        val exchange = Exchange(listener, requestId)
+        poolOf(backend).send(exchange, maxIdleMs)
+        return exchange
+    }
+
+    /** Closes the connections to [backend], which has ended; running answers are read to their end. */
+    fun forget(backend: Backend) {
+        pools.remove(keyOf(backend))?.close()
+    }
+
+    private fun poolOf(backend: Backend) = pools.getOrPut(keyOf(backend)) {
+        ServerPool(backend.row.address, transport, dialect, nowMs) { maxConnections(backend) }
+    }
+
+    private fun keyOf(backend: Backend) = with(backend.row) { Key(id, address, incarnation.value) }
+}
--- a/gentiandale-state/src/main/kotlin/gentiandale/state/AgreedStore.kt
+++ b/gentiandale-state/src/main/kotlin/gentiandale/state/AgreedStore.kt
@@ -43,15 +43,17 @@
  */
 public class AgreedStore private constructor(
     private val node: PeerNode,
-    private val voters: List<VmId>,
+    voters: Collection<VmId>,
     private val clock: Clock,
     replica: Replica?,
     private val log: DurableLog?,
 ) : ReplicatedStore, AutoCloseable {
     private val current = MutableStateFlow(replica?.store?.configuration() ?: Configuration())
     private val position = MutableStateFlow(replica?.status)
+    private val known = MutableStateFlow(voters.toSet())
+    private val stored = MutableStateFlow(replica?.store?.documents ?: emptyMap())
     private val loop = replica?.let { ReplicaLoop(it, clock, ::publish) }
-    private val client = StoreClient(voters, clock, ::call)
+    private val client = StoreClient(::candidates, clock, ::call)
 
     override val configuration: StateFlow<Configuration> = current.asStateFlow()
 
@@ -68,6 +70,18 @@
     public val confirmedMs: Long?
         get() = status.value?.takeIf { it.membership.isVoter(it.self.voter) }?.confirmedMs
 
+    /** Documents that this VM knows to be accepted. */
+    public val documents: StateFlow<Map<String, Document>> = stored.asStateFlow()
+
+    /** Whether this VM takes part in agreement. It does not after its data folder has failed. */
+    public val isRunning: Boolean get() = loop?.isRunning ?: false
+
+    /** Sets the other VMs with a data folder that are known to be there. */
+    public fun meet(present: Set<VmId>) {
+        known.value = present
+        loop?.offer { it.contacts = present }
+    }
+
     /** Starts to take part in agreement and to answer other VMs. */
     public fun start() {
         if (loop == null) return
@@ -100,8 +114,17 @@
         log?.close()
     }
 
+    /** VMs that may lead or know who does, the likely leader first. */
+    private fun candidates(): Collection<VmId> {
+        val present = status.value
+        val members = present?.membership?.voters.orEmpty().map { it.vm }
+        return (listOfNotNull(present?.leader) + members + known.value).distinct()
+    }
+
     private fun publish(replica: Replica) {
         position.value = replica.status
+        val newer = replica.store.documents
+        if (newer.mapValues { it.value.version } != stored.value.mapValues { it.value.version }) stored.value = newer
         if (replica.store.revision > current.value.revision) offer(replica.store.configuration())
     }
 
--- a/gentiandale-state/src/main/kotlin/gentiandale/state/StoreClient.kt
+++ b/gentiandale-state/src/main/kotlin/gentiandale/state/StoreClient.kt
@@ -4,7 +4,12 @@
 import gentiandale.core.VmId
 import gentiandale.state.raft.VoterOutcome
 import gentiandale.state.raft.VoterWish
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.joinAll
+import kotlinx.coroutines.launch
 
 /** Asks one voter; null if no answer came within the time in milliseconds. */
 internal fun interface VoterCall {
@@ -12,11 +17,11 @@
 }
 
 /**
- * Finds the leader among [voters] and submits to it. A request with an effect is sent only to a VM that has just said
+ * Finds the leader among the VMs that [voters] gives and submits to it. A request with an effect is sent only to a VM that has just said
  * that it leads, so that a VM that reaches no voter knows that nothing was accepted.
  */
 internal class StoreClient(
-    private val voters: List<VmId>,
+    private val voters: () -> Collection<VmId>,
     private val clock: Clock,
     private val call: VoterCall,
 ) {
@@ -72,13 +77,27 @@
     private suspend fun findLeader(endMs: Long): VmId? {
         if (clock.monotonicMs() < knownUntilMs) return known
         while (clock.monotonicMs() < endMs) {
-            val hint = voters.firstNotNullOfOrNull { ask(it, endMs)?.leader }
+            val hint = firstHint(endMs)
             if (hint != null && ask(hint, endMs)?.leader == hint) return hint.also(::remember)
             delay(RETRY_MS)
         }
         return null
     }
 
+    /** Asks all VMs at once, so that a silent one costs no time, and returns the first that is named. */
+    private suspend fun firstHint(endMs: Long): VmId? = coroutineScope {
+        val first = CompletableDeferred<VmId?>()
+        val asked = voters().map { vm -> launch { ask(vm, endMs)?.leader?.let(first::complete) } }
+        val end = launch {
+            asked.joinAll()
+            first.complete(null)
+        }
+        first.await().also {
+            end.cancel()
+            asked.forEach(Job::cancel)
+        }
+    }
+
     private suspend fun ask(voter: VmId, endMs: Long): StoreAnswer.Leader? {
         val leftMs = endMs - clock.monotonicMs()
         if (leftMs <= 0) return null
--- a/gentiandale-state/src/main/kotlin/gentiandale/state/StoreCommand.kt
+++ b/gentiandale-state/src/main/kotlin/gentiandale/state/StoreCommand.kt
@@ -7,7 +7,9 @@
 import gentiandale.core.RecordId
 import gentiandale.core.StoredRecord
 import gentiandale.core.VmId
+import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.Serializable
+import kotlinx.serialization.cbor.ByteString
 
 /**
  * A record as an operator submits it.
@@ -69,21 +71,46 @@
         val ttlMs: Long,
         override val atMs: Long,
     ) : StoreCommand
+
+    /** Replaces the document [name] by [document] if that has a higher version than the stored one. */
+    @Serializable
+    public data class PutDocument(
+        val name: String,
+        val document: Document,
+        override val atMs: Long,
+    ) : StoreCommand
+
+    /** Asks for the version of the document [name]. Its place in the log makes the reply current. */
+    @Serializable
+    public data class ReadDocument(val name: String, override val atMs: Long) : StoreCommand
 }
 
+/**
+ * A document of operators that is replaced as a whole.
+ *
+ * @param version chosen by the operator; the highest one is in force.
+ * @param content opaque bytes.
+ */
+@OptIn(ExperimentalSerializationApi::class)
+@Serializable
+public class Document(public val version: Long, @ByteString public val content: ByteArray)
+
 /** Returns this command with the time [atMs]. */
 internal fun StoreCommand.at(atMs: Long): StoreCommand = when (this) {
     is StoreCommand.ApplyRecords -> copy(atMs = atMs)
     is StoreCommand.ClaimKey -> copy(atMs = atMs)
     is StoreCommand.SettleKey -> copy(atMs = atMs)
     is StoreCommand.AcquireLease -> copy(atMs = atMs)
+    is StoreCommand.PutDocument -> copy(atMs = atMs)
+    is StoreCommand.ReadDocument -> copy(atMs = atMs)
 }
 
-/** Returns the length of the bodies that this command carries, in characters. */
+/** Returns the length of the bodies that this command carries, in characters or bytes. */
 internal fun StoreCommand.bodyChars(): Int = when (this) {
     is StoreCommand.ApplyRecords -> drafts.sumOf { it.body.length }
     is StoreCommand.SettleKey -> (result as? ClaimResult.Answered)?.body?.length ?: 0
-    is StoreCommand.ClaimKey, is StoreCommand.AcquireLease -> 0
+    is StoreCommand.PutDocument -> document.content.size
+    is StoreCommand.ClaimKey, is StoreCommand.AcquireLease, is StoreCommand.ReadDocument -> 0
 }
 
 /** What became of a claimed call. */
@@ -136,4 +163,8 @@
     /** The lease is held by [holder] for up to [remainingMs] milliseconds more. */
     @Serializable
     public data class LeaseTaken(val holder: VmId, val remainingMs: Long) : StoreReply
+
+    /** The document has [version] now; 0 if there is none. */
+    @Serializable
+    public data class DocumentAt(val version: Long) : StoreReply
 }
--- a/gentiandale-state/src/main/kotlin/gentiandale/state/StoreMachine.kt
+++ b/gentiandale-state/src/main/kotlin/gentiandale/state/StoreMachine.kt
@@ -18,6 +18,7 @@
     private val claims = ClaimTable()
     private val leases = LeaseTable()
     private val history = ArrayDeque<Change>()
+    private val stored = sortedMapOf<String, Document>()
     private var nowMs = 0L
 
     /** Revision of the accepted configuration. */
@@ -27,6 +28,9 @@
     /** Returns the accepted configuration. */
     public fun configuration(): Configuration = Configuration(revision, records.values.toList())
 
+    /** Documents by name. */
+    public val documents: Map<String, Document> get() = stored.toMap()
+
     /** Returns the last [limit] changes, the newest first. At most [MAX_HISTORY] are kept. */
     public fun history(limit: Int): List<Change> = history.takeLast(limit).reversed()
 
@@ -43,6 +47,8 @@
             is StoreCommand.ClaimKey -> claims.claim(command, nowMs)
             is StoreCommand.SettleKey -> claims.settle(command)
             is StoreCommand.AcquireLease -> leases.acquire(command, nowMs)
+            is StoreCommand.PutDocument -> put(command)
+            is StoreCommand.ReadDocument -> StoreReply.DocumentAt(stored[command.name]?.version ?: 0)
         }
     }
 
@@ -56,6 +62,7 @@
         claims = claims.save(),
         leases = leases.save(),
         history = history.toList(),
+        documents = stored.toMap(),
     )
 
     /** Replaces the whole state by [snapshot]. */
@@ -71,6 +78,8 @@
         leases.load(snapshot.leases)
         history.clear()
         history.addAll(snapshot.history)
+        stored.clear()
+        stored.putAll(snapshot.documents)
     }
 
     private fun applyOnce(command: StoreCommand.ApplyRecords): StoreReply {
@@ -104,6 +113,13 @@
         return AnsweredOperation(digest, nowMs, revision, changed.mapNotNull { it.version })
     }
 
+    private fun put(command: StoreCommand.PutDocument): StoreReply {
+        val present = stored[command.name]?.version ?: 0
+        if (command.document.version <= present) return StoreReply.DocumentAt(present)
+        stored[command.name] = command.document
+        return StoreReply.DocumentAt(command.document.version)
+    }
+
     private fun put(draft: RecordDraft): Long? {
         if (draft.delete) {
             records.remove(draft.id.toString())
--- a/gentiandale-state/src/main/kotlin/gentiandale/state/StoreSnapshot.kt
+++ b/gentiandale-state/src/main/kotlin/gentiandale/state/StoreSnapshot.kt
@@ -39,4 +39,5 @@
     val claims: Map<IdempotencyKey, Claim> = emptyMap(),
     val leases: Map<String, Lease> = emptyMap(),
     val history: List<Change> = emptyList(),
+    val documents: Map<String, Document> = emptyMap(),
 )
--- a/gentiandale-state/src/main/kotlin/gentiandale/state/raft/Leadership.kt
+++ b/gentiandale-state/src/main/kotlin/gentiandale/state/raft/Leadership.kt
@@ -81,6 +81,9 @@
         return known.match >= state.commit && state.nowMs - known.ackedMs < state.settings.electionMinMs
     }
 
+    /** Returns for how many milliseconds [member] has not answered. */
+    fun silenceMs(member: Member): Long = state.nowMs - (progress[member.voter]?.ackedMs ?: startedMs)
+
     private fun announceCommit(member: Member) {
         val known = progressOf(member)
         if (!known.waiting && known.match >= state.commit) send(member, known)
@@ -115,6 +118,7 @@
         progress.getOrPut(member.voter) { Progress(maxOf(state.log.lastIndex, 1), startedMs) }
 
     private companion object {
-        const val MAX_BATCH_BYTES = 1_024 * 1_024
+        /** A batch is sent again as a whole after a loss, so it stays well below what a link carries in that time. */
+        const val MAX_BATCH_BYTES = 256 * 1_024
     }
 }
--- a/gentiandale-state/src/main/kotlin/gentiandale/state/raft/RaftCore.kt
+++ b/gentiandale-state/src/main/kotlin/gentiandale/state/raft/RaftCore.kt
@@ -89,6 +89,9 @@
     public fun isCaughtUp(member: Member): Boolean =
         (role as? Role.Leader)?.leadership?.isCaughtUp(member) ?: false
 
+    /** Returns for how many milliseconds [member] has not answered this leader; 0 if this member does not lead. */
+    public fun silenceMs(member: Member): Long = (role as? Role.Leader)?.leadership?.silenceMs(member) ?: 0
+
     /** Notes that the log is durable up to [index]. */
     public fun saved(index: Long) {
         state.saved(index)
--- a/gentiandale-state/src/main/kotlin/gentiandale/state/raft/Replica.kt
+++ b/gentiandale-state/src/main/kotlin/gentiandale/state/raft/Replica.kt
@@ -42,12 +42,17 @@
     private val machine = StoreMachine().also { m -> recovered.snapshot?.let { m.restore(it.store) } }
     private val pending = HashMap<Long, Pending>()
     private val present = HashMap<VmId, Member>()
+    private val presentMs = HashMap<VmId, Long>()
+    private var nowMs = nowMs
     private var wish: PendingWish? = null
     private var applied = recovered.snapshot?.index ?: 0
     private var snapshotIndex = applied
     private var helloDueMs = nowMs
     private var lastLeader: Member? = null
 
+    /** Other VMs with a data folder that are known to be there, besides the initial voters. */
+    public var contacts: Set<VmId> = emptySet()
+
     /** State of the store as applied here. */
     public val store: StoreMachine get() = machine
 
@@ -65,8 +70,9 @@
 
     /** Notes that time has passed. */
     public fun tick(nowMs: Long) {
+        this.nowMs = maxOf(this.nowMs, nowMs)
         core.tick(nowMs)
-        if (nowMs >= helloDueMs && !core.membership.isVoter(self.voter)) greet(nowMs)
+        if (nowMs >= helloDueMs && !isSettledVoter()) greet(nowMs)
         if (core.isLeader) arrangeMembership() else giveUpWish()
     }
 
@@ -76,6 +82,7 @@
             is AgreementMessage.Letter -> core.receive(message.letter, nowMs)
             is AgreementMessage.Hello -> {
                 present[message.member.vm] = message.member
+                presentMs[message.member.vm] = nowMs
                 sender.send(from, AgreementMessage.HelloReply(message.member.voter, self, core.group))
             }
             is AgreementMessage.HelloReply -> formation.onReply(message)
@@ -156,16 +163,21 @@
 
     private fun greet(nowMs: Long) {
         helloDueMs = nowMs + settings.helloMs
-        if (core.group == null) formation.founders()?.let(::found)
-        initial.filter { it != self.vm }.forEach { sender.send(it, AgreementMessage.Hello(self)) }
+        if (core.group == null && settings.mayFound) formation.founders()?.let(::found)
+        val others = initial + contacts + core.membership.voters.map { it.vm }
+        others.distinct().filter { it != self.vm }.forEach { sender.send(it, AgreementMessage.Hello(self)) }
     }
 
+    /** A voter that hears no leader may have been replaced without having been told. */
+    private fun isSettledVoter() = core.membership.isVoter(self.voter) && (core.isLeader || core.leader != null)
+
     private fun found(members: List<Member>) {
         logger.info("Founding a group of {}.", members)
         core.found(GroupId("g-${self.voter}"), members)
     }
 
     private fun arrangeMembership() {
+        settings.voters?.let(::replaceByItself)
         val wanted = wish
         if (wanted != null &&
             core.membershipIndex <= core.commitIndex &&
@@ -174,10 +186,28 @@
             wish = null
             wanted.done(VoterOutcome.Done(core.membership))
         }
-        val next = nextMembership(core.membership, present, wish?.wish, core::isCaughtUp) ?: return
+        val members = Candidates(present, core::isCaughtUp, ::isAbandoned)
+        val next = nextMembership(core.membership, members, wish?.wish) ?: return
         if (core.changeMembership(next) != null) logger.info("Changing the voters to {}.", next)
     }
 
+    /** Makes the wish of [automatic] the present one, and drops it again when its newcomer has gone. */
+    private fun replaceByItself(automatic: AutomaticVoters) {
+        val running = wish
+        if (running == null) {
+            val seen = present.values.filter { nowMs - (presentMs[it.vm] ?: 0) <= automatic.presentMs }
+            val wanted = automatic.wish(core.membership, self, seen, core::silenceMs) ?: return
+            logger.info("Replacing voters by itself: {}.", wanted)
+            wish = PendingWish(wanted) { logger.info("Replacement of voters ended: {}.", it) }
+        } else if (running.wish.add?.let { nowMs - (presentMs[it] ?: nowMs) > WISH_LIFETIME_MS } == true) {
+            giveUpWish()
+        }
+    }
+
+    /** Returns whether the learner [member] has been silent for long and nobody waits for it. */
+    private fun isAbandoned(member: Member) =
+        settings.voters != null && member.vm != wish?.wish?.add && core.silenceMs(member) > WISH_LIFETIME_MS
+
     private fun giveUpWish() {
         wish?.done?.invoke(VoterOutcome.NotKnown("The leader has changed."))
         wish = null
@@ -194,6 +224,11 @@
         logger.info("{} follows {} in term {}.", self, lastLeader ?: "nobody", core.term)
     }
 
+    private companion object {
+        /** Time after which a newcomer that says nothing is given up, in milliseconds. */
+        const val WISH_LIFETIME_MS = 4_000L
+    }
+
     private class Pending(val term: Long, val done: (SubmitOutcome) -> Unit)
 
     private class PendingWish(val wish: VoterWish, val done: (VoterOutcome) -> Unit)
--- a/gentiandale-state/src/main/kotlin/gentiandale/state/raft/ReplicaStatus.kt
+++ b/gentiandale-state/src/main/kotlin/gentiandale/state/raft/ReplicaStatus.kt
@@ -9,12 +9,16 @@
  * @param snapshotEntries applied entries after which a snapshot is taken.
  * @param keptEntries entries kept behind a snapshot for members that lag.
  * @param helloMs interval in milliseconds at which a member that is no voter says that it is there.
+ * @param mayFound whether this member may found a group; false where a group is known to exist.
+ * @param voters how voters are replaced without an operator; null if they are not.
  */
 public data class ReplicaSettings(
     val raft: RaftSettings = RaftSettings(),
     val snapshotEntries: Long = 4_096,
     val keptEntries: Long = 1_024,
     val helloMs: Long = 500,
+    val mayFound: Boolean = true,
+    val voters: AutomaticVoters? = null,
 )
 
 /**
--- a/gentiandale-state/src/main/kotlin/gentiandale/state/raft/VoterWish.kt
+++ b/gentiandale-state/src/main/kotlin/gentiandale/state/raft/VoterWish.kt
@@ -11,24 +11,32 @@
 public data class VoterWish(val add: VmId?, val remove: VmId?)
 
 /**
- * Returns the next change of [membership], by one voter at most, or null if there is nothing to change. A VM that
- * came back with another data folder takes the place of its old self without a wish.
+ * Members that may become voters.
  *
  * @param present members that have said that they are there and are no voters, by VM.
  * @param isCaughtUp whether a learner has everything that is committed.
+ * @param isAbandoned whether a learner is silent and not waited for.
+ */
+internal class Candidates(
+    val present: Map<VmId, Member>,
+    val isCaughtUp: (Member) -> Boolean,
+    val isAbandoned: (Member) -> Boolean = { false },
+)
+
+/**
+ * Returns the next change of [membership], by one voter at most, or null if there is nothing to change. A VM that
+ * came back with another data folder takes the place of its old self without a wish.
+ *
  */
-internal fun nextMembership(
-    membership: Membership,
-    present: Map<VmId, Member>,
-    wish: VoterWish?,
-    isCaughtUp: (Member) -> Boolean,
-): Membership? {
+internal fun nextMembership(membership: Membership, candidates: Candidates, wish: VoterWish?): Membership? {
     val superseded = membership.voters.find { old -> membership.voters.last { it.vm == old.vm } != old }
-    val ready = membership.learners.find(isCaughtUp)
-    val newcomer = present.values.find { it !in membership.all && isWanted(it.vm, membership, wish) }
+    val ready = membership.learners.find(candidates.isCaughtUp)
+    val abandoned = membership.learners.find(candidates.isAbandoned)
+    val newcomer = candidates.present.values.find { it !in membership.all && isWanted(it.vm, membership, wish) }
     return when {
         superseded != null -> membership.copy(voters = membership.voters - superseded)
         ready != null -> Membership(membership.voters + ready, membership.learners - ready)
+        abandoned != null -> membership.copy(learners = membership.learners - abandoned)
         newcomer != null -> membership.copy(learners = membership.learners.filter { it.vm != newcomer.vm } + newcomer)
         wish != null -> removal(membership, wish)
         else -> null
--- a/gentiandale-wire/src/main/kotlin/gentiandale/wire/Channel.kt
+++ b/gentiandale-wire/src/main/kotlin/gentiandale/wire/Channel.kt
@@ -19,4 +19,10 @@
 
     /** Requests forwarded to the VM that owns the servers. */
     FORWARD,
+
+    /** Check of a link that carries traffic: the receiver answers on the same connection. */
+    LINK,
+
+    /** Configuration, backend servers and VMs, between control VMs and entry VMs. */
+    FLEET,
 }
--- a/gentiandale-wire/src/main/kotlin/gentiandale/wire/PeerLink.kt
+++ b/gentiandale-wire/src/main/kotlin/gentiandale/wire/PeerLink.kt
@@ -1,12 +1,13 @@
 package gentiandale.wire
 
 import gentiandale.core.Address
+import gentiandale.core.VmId
 import io.ktor.network.selector.SelectorManager
 import io.ktor.network.sockets.Socket
 import io.ktor.network.sockets.aSocket
 import io.ktor.network.sockets.openReadChannel
 import io.ktor.network.sockets.openWriteChannel
-import io.ktor.utils.io.discard
+import io.ktor.utils.io.readByte
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.channels.BufferOverflow
@@ -19,8 +20,12 @@
 import java.io.IOException
 import kotlinx.coroutines.channels.Channel as Mailbox
 
-/** Sends frames to one address over a connection that it makes again after each loss. */
+/**
+ * Sends frames to one address over a connection that it makes again after each loss. A connection that carries frames
+ * is checked by pings, so that one that went silent is replaced.
+ */
 internal class PeerLink(
+    self: VmId,
     private val address: Address,
     private val selector: SelectorManager,
     private val scope: CoroutineScope,
@@ -28,6 +33,7 @@
 ) {
     private val log = LoggerFactory.getLogger(PeerLink::class.java)
     private val mailbox = Mailbox<ByteArray>(MAX_WAITING, BufferOverflow.DROP_OLDEST)
+    private val ping = encodeFrame(Envelope(self, Channel.LINK, 0, reply = false, ByteArray(0)))
     private val job = scope.launch { run() }
 
     /** Whether a connection stands, as far as this end knows. */
@@ -68,32 +74,76 @@
         }
     }
 
-    /** Writes until the connection ends at either side. The peer never writes to it, so a read returns at its end. */
+    /** Writes until the connection ends at either side or goes silent. The peer writes one byte for each ping. */
     private suspend fun writeUntilClosed(socket: Socket, first: ByteArray) = coroutineScope {
+        val check = SilenceCheck()
         launch {
-            socket.openReadChannel().discard()
-            throw ClosedByPeer()
+            val input = socket.openReadChannel()
+            while (true) {
+                input.readByte()
+                check.onPong()
+            }
         }
-        writeAll(socket, first)
+        launch {
+            while (true) {
+                delay(CHECK_INTERVAL_MS)
+                if (check.isSilent()) throw SilentLink()
+            }
+        }
+        writeAll(socket, first, check)
     }
 
-    private suspend fun writeAll(socket: Socket, first: ByteArray) {
+    private suspend fun writeAll(socket: Socket, first: ByteArray, check: SilenceCheck) {
         val output = socket.openWriteChannel(autoFlush = false)
         var frame: ByteArray? = first
         while (true) {
             val next = frame ?: mailbox.receive()
             writeFrame(output, next)
             onSent(next.size.toLong())
+            if (check.startPing()) writeFrame(output, ping)
             frame = mailbox.tryReceive().getOrNull()
             if (frame == null) output.flush()
         }
     }
 
-    private class ClosedByPeer : IOException("closed by the peer")
+    private class SilentLink : IOException("the peer does not answer pings")
+
+    /** Keeps at most one ping on its way, and knows for how long it has not been answered. */
+    private class SilenceCheck {
+        @Volatile
+        private var pingedAt = NONE
+
+        fun startPing(): Boolean {
+            if (pingedAt != NONE) return false
+            pingedAt = System.nanoTime()
+            return true
+        }
+
+        fun onPong() {
+            pingedAt = NONE
+        }
+
+        fun isSilent(): Boolean {
+            val at = pingedAt
+            return at != NONE && System.nanoTime() - at > SILENCE_NANOS
+        }
+
+        private companion object {
+            const val NONE = Long.MIN_VALUE
+        }
+    }
 
     private companion object {
-        const val MAX_WAITING = 4_096
+        const val MAX_WAITING = 1_024
         const val RECONNECT_DELAY_MS = 50L
-        const val CONNECT_TIMEOUT_MS = 1_000L
+
+        /** Longer than the round trip between regions and a repeated packet. */
+        const val CONNECT_TIMEOUT_MS = 700L
+
+        /** Interval of the check for silence. */
+        const val CHECK_INTERVAL_MS = 250L
+
+        /** Several times the repeat of a lost packet; well below the time in which a change must be in force. */
+        const val SILENCE_NANOS = 1_000_000_000L
     }
 }
--- a/gentiandale-wire/src/main/kotlin/gentiandale/wire/PeerNode.kt
+++ b/gentiandale-wire/src/main/kotlin/gentiandale/wire/PeerNode.kt
@@ -7,7 +7,9 @@
 import io.ktor.network.sockets.Socket
 import io.ktor.network.sockets.aSocket
 import io.ktor.network.sockets.openReadChannel
+import io.ktor.network.sockets.openWriteChannel
 import io.ktor.network.sockets.port
+import io.ktor.utils.io.writeByte
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
@@ -101,7 +103,7 @@
     private fun post(peer: VmId, envelope: Envelope) {
         if (!filter.passes(self, peer, envelope.channel)) return
         val address = addresses[peer] ?: return
-        val link = links.computeIfAbsent(peer) { PeerLink(address, selector, scope, bytes::addAndGet) }
+        val link = links.computeIfAbsent(peer) { PeerLink(self, address, selector, scope, bytes::addAndGet) }
         link.offer(envelope)
     }
 
@@ -119,9 +121,14 @@
 
     private suspend fun readAll(socket: Socket) {
         val input = socket.openReadChannel()
+        val output = socket.openWriteChannel(autoFlush = true)
         try {
             while (true) {
                 val envelope = readFrame(input) ?: break
+                if (envelope.channel == Channel.LINK) {
+                    output.writeByte(PONG)
+                    continue
+                }
                 if (!filter.passes(envelope.from, self, envelope.channel)) continue
                 dispatch(envelope)
             }
@@ -151,4 +158,8 @@
         val result = handler.handle(envelope.from, envelope.payload) ?: return
         post(envelope.from, Envelope(self, envelope.channel, envelope.call, reply = true, result))
     }
+
+    private companion object {
+        const val PONG: Byte = 1
+    }
 }
