--- a/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/ControlHub.kt
+++ b/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/ControlHub.kt
@@ -35,6 +35,8 @@
     private val heardMs = HashMap<ServerId, Long>()
     private val entries = HashMap<VmId, Entry>()
     private val controls = HashMap<VmId, Entry>()
+    private val board = LoadBoard()
+    private var isBoardChanged = false
     private var fetchedMs = Long.MIN_VALUE / 2
 
     /** The accepted configuration of the highest version that this VM knows. */
@@ -87,7 +89,11 @@
                     ?.let { sender.send(from, FleetMessage.Configuration(it)) }
             }
             is FleetMessage.Configuration -> onDocument(message.document)
-            is FleetMessage.Notice -> Unit
+            is FleetMessage.OwnLoad -> {
+                board.report(from, message.loads)
+                isBoardChanged = true
+            }
+            is FleetMessage.Notice, is FleetMessage.OtherLoad -> Unit
         }
     }
 
@@ -95,12 +101,29 @@
     public fun tick() {
         val now = clock.monotonicMs()
         roster.tick(now)
-        entries.values.removeIf { now - it.heardMs > ENTRY_LOST_MS }
+        entries.filterValues { now - it.heardMs > ENTRY_LOST_MS }.keys.forEach { vm ->
+            entries -= vm
+            board.forget(vm)
+        }
+        tellLoads(all = true)
         greetAll()
         tellEntries(markSilent(now))
         forgetEnded(now)
     }
 
+    /** Tells entry VMs of changed loads. It is called every [LOAD_TICK_MS] milliseconds. */
+    public fun tickLoads() {
+        if (isBoardChanged) tellLoads(all = false)
+    }
+
+    private fun tellLoads(all: Boolean) {
+        isBoardChanged = false
+        entries.keys.forEach { vm ->
+            val news = board.newsFor(vm, all)
+            if (news.isNotEmpty()) sender.send(vm, FleetMessage.OtherLoad(news))
+        }
+    }
+
     private fun onSubscribe(from: VmId, message: FleetMessage.Subscribe, now: Long) {
         val entry = entries.getOrPut(from) { Entry(0, 0, now) }
         entry.heardMs = now
@@ -168,6 +191,9 @@
         /** Interval of [tick] in milliseconds: several of them fit in the time in which a change must be in force. */
         public const val TICK_MS: Long = 500
 
+        /** Interval of [tickLoads] in milliseconds: shorter than most times between two requests for an engine. */
+        public const val LOAD_TICK_MS: Long = 30
+
         /** An entry VM that has said nothing for this long does not share budgets any more. */
         private const val ENTRY_LOST_MS = 3_000L
 
--- a/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/EntryFeed.kt
+++ b/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/EntryFeed.kt
@@ -3,6 +3,7 @@
 import gentiandale.core.Clock
 import gentiandale.core.VmId
 import gentiandale.core.backend.BackendRow
+import gentiandale.core.backend.ServerLoad
 import gentiandale.core.log.EventLog
 import gentiandale.state.Document
 
@@ -22,6 +23,12 @@
 
     /** Takes the number of entry VMs. */
     public fun onEntryCount(count: Int)
+
+    /** Load that this VM has placed on engines. */
+    public val ownLoad: List<ServerLoad>
+
+    /** Takes the load of the other entry VMs. */
+    public fun onOtherLoad(loads: List<ServerLoad>)
 }
 
 /**
@@ -40,6 +47,8 @@
     private var fetchedMs = Long.MIN_VALUE / 2
     private var heardMs: Long? = null
     private var rowsMs: Long? = null
+    private var reportedTo: VmId? = null
+    private var reportedAny = false
 
     /** Time in milliseconds since a control VM was heard last; null if none ever was. */
     public val ageMs: Long? get() = heardMs?.let { clock.monotonicMs() - it }
@@ -58,6 +67,18 @@
         roster.tick(clock.monotonicMs())
         val message = FleetMessage.Subscribe(receiver.version, receiver.digest)
         roster.all.forEach { sender.send(it, message) }
+        reportLoad()
+    }
+
+    /** Tells the other entry VMs what this one has placed, by way of the same control VM for all of them. */
+    public fun reportLoad() {
+        val keeper = roster.heard(clock.monotonicMs()).minOrNull() ?: return
+        val loads = receiver.ownLoad
+        if (loads.isEmpty() && keeper == reportedTo && !reportedAny) return
+        reportedTo?.takeIf { it != keeper }?.let { sender.send(it, FleetMessage.OwnLoad(emptyList())) }
+        reportedTo = keeper
+        reportedAny = loads.isNotEmpty()
+        sender.send(keeper, FleetMessage.OwnLoad(loads))
     }
 
     /** Handles [message] of the control VM [from]. */
@@ -67,7 +88,8 @@
             is FleetMessage.Notice -> onNotice(from, message, now)
             is FleetMessage.Configuration -> onConfiguration(from, message.document)
             is FleetMessage.Servers -> onServers(from, message.rows, now)
-            is FleetMessage.Subscribe, is FleetMessage.Greet, is FleetMessage.Fetch -> Unit
+            is FleetMessage.OtherLoad -> if (from == reportedTo) receiver.onOtherLoad(message.loads)
+            is FleetMessage.Subscribe, is FleetMessage.Greet, is FleetMessage.Fetch, is FleetMessage.OwnLoad -> Unit
         }
     }
 
--- a/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/FleetMessage.kt
+++ b/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/FleetMessage.kt
@@ -2,6 +2,7 @@
 
 import gentiandale.core.VmId
 import gentiandale.core.backend.BackendRow
+import gentiandale.core.backend.ServerLoad
 import gentiandale.state.Document
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
@@ -40,6 +41,16 @@
     @SerialName("r")
     public data class Servers(val rows: List<BackendRow>) : FleetMessage
 
+    /** Load that the sending entry VM has placed on engines. Engines that are not listed have none. */
+    @Serializable
+    @SerialName("l")
+    public data class OwnLoad(val loads: List<ServerLoad>) : FleetMessage
+
+    /** Load that the other entry VMs have placed on engines. Engines that are not listed are as told before. */
+    @Serializable
+    @SerialName("o")
+    public data class OtherLoad(val loads: List<ServerLoad>) : FleetMessage
+
     /** Asks for the configuration if its version is above [above]. */
     @Serializable
     @SerialName("f")
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/Relay.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/Relay.kt
@@ -2,7 +2,9 @@
 
 import gentiandale.core.Clock
 import gentiandale.core.DataCentreId
+import gentiandale.core.ServerKind
 import gentiandale.core.backend.BackendRow
+import gentiandale.core.backend.ServerLoad
 import gentiandale.core.backend.ServiceName
 import gentiandale.core.log.EventLog
 import gentiandale.relay.backend.Backend
@@ -12,9 +14,9 @@
 import gentiandale.relay.caller.CallerService
 import gentiandale.relay.life.Call
 import gentiandale.relay.life.GenerationLife
+import gentiandale.relay.life.GenerationLine
 import gentiandale.relay.life.PlainLife
 import gentiandale.relay.life.RelayContext
-import gentiandale.relay.life.RequestLife
 import gentiandale.relay.life.endToEnd
 import gentiandale.relay.placement.GenerationPlacement
 import gentiandale.relay.placement.PlainPlacement
@@ -27,6 +29,7 @@
 import io.netty.buffer.Unpooled
 import io.netty.handler.codec.http.DefaultHttpHeaders
 import io.netty.handler.codec.http.HttpHeaderNames
+import java.util.concurrent.TimeUnit
 import kotlin.random.Random
 
 /**
@@ -56,7 +59,8 @@
     private val book = BackendBook()
     private val upstreams = Upstreams(transport, dialect, clock::monotonicMs, ::connectionShare)
     private val budgets = HashMap<ServiceName, RetryBudget>()
-    private val lives = HashSet<RequestLife>()
+    private var isReportDue = false
+    private val line = GenerationLine(transport.loop, clock::monotonicMs)
     private val context = RelayContext(
         loop = transport.loop,
         nowMs = clock::monotonicMs,
@@ -69,6 +73,8 @@
         random = random,
         log = log,
         stats = stats,
+        line = line,
+        onLoadChanged = ::scheduleLoadReport,
     )
 
     /** The routing table in force, or null before the first one. */
@@ -99,8 +105,32 @@
         return true
     }
 
+    /** Called when the load that this VM has placed on engines has changed, shortly after. */
+    public var onLoadChanged: () -> Unit = {}
+
+    /** Load that this VM has placed on engines; engines without any are left out. */
+    public fun ownLoad(): List<ServerLoad> = book.all.filter { it.row.kind != ServerKind.PLAIN }.map { it.ownLoad }
+        .filter { it.running > 0 || it.promptTokens > 0 || it.memoryTokens > 0 }
+
+    /** Takes the load that the other VMs have placed on engines. */
+    public fun onOtherLoad(loads: List<ServerLoad>) {
+        loads.forEach { book[it.id]?.onOtherLoad(it) }
+        line.pump()
+    }
+
+    private fun scheduleLoadReport() {
+        if (isReportDue) return
+        isReportDue = true
+        transport.loop.schedule(::reportLoad, REPORT_DELAY_MS, TimeUnit.MILLISECONDS)
+    }
+
+    private fun reportLoad() {
+        isReportDue = false
+        onLoadChanged()
+    }
+
     /** Takes what is known of a server, and returns the rows that changed. */
-    public fun merge(row: BackendRow): List<BackendRow> = book.merge(row)
+    public fun merge(row: BackendRow): List<BackendRow> = book.merge(row).also { if (it.isNotEmpty()) line.pump() }
 
     override fun serve(request: CallerRequest, reply: CallerReply): () -> Unit {
         val present = table ?: return refuse(request, reply, UNAVAILABLE, "no configuration yet")
@@ -163,5 +193,8 @@
         /** Part of a server's connections that are used: closed ones count there for a moment longer. */
         const val CONNECTION_SAFETY = 0.8
         const val MIN_CONNECTIONS = 3
+
+        /** Changes within this time are reported together. */
+        const val REPORT_DELAY_MS = 10L
     }
 }
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/RelayEvent.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/RelayEvent.kt
@@ -1,6 +1,7 @@
 package gentiandale.relay
 
 import gentiandale.core.ServerId
+import gentiandale.core.backend.ServerLoad
 import gentiandale.core.log.LogEvent
 import gentiandale.core.log.LogLine
 
@@ -23,26 +24,29 @@
     }
 
     /**
-     * A request was sent to [server].
+     * A request was sent to a server.
      *
      * @param step what the server is asked for.
      * @param passedOver servers that were not considered, with the reason.
-     * @param running requests of this VM at the server when it was chosen.
+     * @param own load of this VM at the server when it was chosen.
+     * @param others load of the other VMs at it, as last told.
      */
     public class Placed(
         private val request: String?,
         private val route: String,
         private val version: Long,
         private val step: String,
-        private val server: ServerId,
+        private val own: ServerLoad,
+        private val others: ServerLoad,
         private val attempt: Int,
-        private val running: Int,
         private val passedOver: String?,
         private val leftMs: Long,
     ) : RelayEvent("placed") {
         override fun describe(line: LogLine) {
             line.field("request", request).field("route", route).field("version", version).field("step", step)
-                .field("server", server.value).field("attempt", attempt).field("running", running)
+                .field("server", own.id.value).field("attempt", attempt).field("running", own.running)
+                .field("others_running", others.running)
+                .field("memory_tokens", own.memoryTokens).field("others_memory_tokens", others.memoryTokens)
                 .field("passed_over", passedOver).field("left_ms", leftMs)
         }
     }
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/backend/Backend.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/backend/Backend.kt
@@ -3,6 +3,7 @@
 import gentiandale.core.ServerKind
 import gentiandale.core.backend.BackendRow
 import gentiandale.core.backend.BackendState
+import gentiandale.core.backend.ServerLoad
 
 /**
  * A backend server as one entry VM sees it: its [row] and what requests have shown. It is used by one thread.
@@ -26,16 +27,33 @@
 
     /** Requests, prompt tokens and memory tokens of other VMs at this server, as last reported. */
     public var otherRunning: Int = 0
-        internal set
+        private set
 
     /** Prompt tokens of other VMs that it has not read yet, as last reported. */
     public var otherPromptTokens: Long = 0
-        internal set
+        private set
 
     /** Memory tokens of other VMs, as last reported. */
     public var otherMemoryTokens: Long = 0
+        private set
+
+    /** Monotonic time in milliseconds at which bytes of an answer came last; null before the first. */
+    public var lastByteMs: Long? = null
         internal set
 
+    /** Load that this VM has placed. */
+    public val ownLoad: ServerLoad get() = ServerLoad(row.id, running, promptTokens, memoryTokens)
+
+    /** Load of the other VMs, as last told. */
+    public val othersLoad: ServerLoad get() = ServerLoad(row.id, otherRunning, otherPromptTokens, otherMemoryTokens)
+
+    /** Takes the load of the other VMs. */
+    public fun onOtherLoad(load: ServerLoad) {
+        otherRunning = load.running
+        otherPromptTokens = load.promptTokens
+        otherMemoryTokens = load.memoryTokens
+    }
+
     /** Smoothed speed at which it reads prompts, in tokens in a millisecond. */
     public var tokensPerMs: Double = if (row.kind == ServerKind.PREFILL) PREFILL_SPEED else DECODE_SPEED
         private set
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/backend/BackendBook.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/backend/BackendBook.kt
@@ -23,6 +23,12 @@
     /** All rows, tombstones included. */
     public val rows: Collection<BackendRow> get() = table.all
 
+    /** Returns the server [id], or null. */
+    public operator fun get(id: ServerId): Backend? = backends[id]
+
+    /** All servers that have not ended. */
+    public val all: Collection<Backend> get() = backends.values
+
     /** Returns the servers of [service] that take new work. */
     public fun ready(service: ServiceName): List<Backend> =
         backends.values.filter { it.row.service == service && it.takesWork }
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/life/GenerationLife.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/life/GenerationLife.kt
@@ -2,7 +2,9 @@
 
 import gentiandale.core.ServerKind
 import gentiandale.relay.backend.Backend
+import gentiandale.relay.placement.GenerationNeed
 import gentiandale.relay.placement.GenerationPlan
+import gentiandale.relay.placement.Waiting
 import gentiandale.relay.routing.Repetition
 import gentiandale.relay.upstream.AnswerListener
 import gentiandale.relay.upstream.GenerationSize
@@ -19,12 +21,16 @@
 import java.util.concurrent.TimeUnit
 
 /** Life of a request that is answered by a stream of events, made by a prefill and a decode server together. */
-internal class GenerationLife(call: Call, context: RelayContext) : RequestLife(call, context) {
+internal class GenerationLife(call: Call, context: RelayContext) :
+    RequestLife(call, context),
+    GenerationLine.Member {
     private class Cache(val server: Backend, val handle: String)
 
     private val size = context.dialect.size(call.headers) ?: DEFAULT_SIZE
+    private val need = GenerationNeed(size.prompt, size.prompt + (size.expected * HELD_ANSWER_SHARE).toInt())
     private val engine = call.rule?.engine
     private var cache: Cache? = null
+    private var place: Backend? = null
     private var prefills = 0
     private var begun = false
     private var lastEvent: String? = context.dialect.lastEventId(call.headers)
@@ -33,30 +39,53 @@
     private var current: Send? = null
     private var rejections = 0
 
+    override val waiting = Waiting(route.urgency, call.request.startMs, call.request.startMs + route.targetMs)
+
     override fun hasBegun(): Boolean = begun
 
     override fun release() {
         gapTimer?.cancel(false)
+        context.line.leave(this)
+        leavePlace()
         cache?.let(::free)
         cache = null
     }
 
-    override fun proceed() {
+    override fun proceed() = context.line.enter(this)
+
+    override fun giveBack(reason: String) = giveUp(reason)
+
+    override fun tryBegin(): Boolean {
         val now = context.nowMs()
-        val candidates = context.candidates(call.service)
-        val engines = if (prefills < MAX_PREFILLS) candidates else candidates.filter { it.row.kind != ServerKind.PREFILL }
-        when (val plan = context.generations.plan(engines, tried, size.prompt, now)) {
-            is GenerationPlan.HandOver -> prefill(plan.prefill)
-            is GenerationPlan.OnDecode -> run(plan.decode)
-            null -> retryTried(candidates, now)
+        val excluded = if (prefills < MAX_PREFILLS) tried else tried + prefillServers()
+        when (val plan = context.generations.plan(context.candidates(call.service), excluded, need, engine, now)) {
+            is GenerationPlan.NoRoom -> return false
+            is GenerationPlan.NoServer -> giveUp("no decode server")
+            is GenerationPlan.Place -> {
+                take(plan.decode)
+                if (plan.prefill == null) run(plan.decode) else prefill(plan.prefill)
+            }
         }
+        return true
     }
 
-    /** Every server has been tried; one that was merely full may have room by now. */
-    private fun retryTried(candidates: List<Backend>, now: Long) {
-        val again = context.generations.decode(candidates, emptySet(), size.prompt + size.answer, engine, now)
-        if (again == null || rejections == 0 || rejections > MAX_REJECTIONS) return giveUp("no decode server")
-        run(again)
+    private fun prefillServers() =
+        context.candidates(call.service).filter { it.row.kind == ServerKind.PREFILL }.map { it.row.id }
+
+    /** Reserves room at [server], which the other VMs are told of. */
+    private fun take(server: Backend) {
+        leavePlace()
+        place = server
+        server.memoryTokens += need.memoryTokens
+        context.onLoadChanged()
+    }
+
+    private fun leavePlace() {
+        val left = place ?: return
+        place = null
+        left.memoryTokens -= need.memoryTokens
+        context.onLoadChanged()
+        context.loop.execute(context.line::pump)
     }
 
     private fun giveUp(reason: String) {
@@ -64,7 +93,10 @@
     }
 
     private fun prefill(server: Backend) {
-        if (prefills > 0 && !context.budgetOf(call.service).take(context.nowMs())) return runWithoutPrefill()
+        if (prefills > 0 && !context.budgetOf(call.service).take(context.nowMs())) {
+            prefills = MAX_PREFILLS
+            return place?.let(::run) ?: giveUp("no decode server")
+        }
         prefills++
         val waitMs = context.generations.readMs(server, size.prompt)
         val send = send(server, "prefill", Long.MAX_VALUE, Prefill(server))
@@ -73,13 +105,13 @@
             send.failed("no KV cache in time")
             send.cancel()
             tried += server.row.id
-            proceed()
+            restart()
         }
-        server.promptTokens += size.prompt
     }
 
-    private fun runWithoutPrefill() {
-        prefills = MAX_PREFILLS
+    /** Looks for servers anew. */
+    private fun restart() {
+        leavePlace()
         proceed()
     }
 
@@ -92,23 +124,26 @@
         val send = send(server, if (source == null) "run" else "decode", Long.MAX_VALUE, Run(server, source))
         current = send
         val readMs = if (source == null) context.generations.readMs(server, size.prompt) else 0.0
-        watch(send, (readMs * READ_PATIENCE).toLong() + FIRST_EVENT_SLACK_MS)
+        watch(send, (readMs * READ_PATIENCE).toLong() + FIRST_EVENT_SLACK_MS, 0)
     }
 
     /** Moves the request to another server if [send] shows no event for [delayMs] milliseconds. */
-    private fun watch(send: Send, delayMs: Long) {
+    private fun watch(send: Send, delayMs: Long, waitedMs: Long) {
         gapTimer?.cancel(false)
-        if (route.repetition != Repetition.RESUMABLE || attempts >= route.maxAttempts) return
-        gapTimer = context.loop.schedule({ onGap(send, delayMs) }, delayMs, TimeUnit.MILLISECONDS)
+        if (route.repetition != Repetition.RESUMABLE || attempts > route.maxAttempts) return
+        gapTimer = context.loop.schedule({ onGap(send, delayMs, waitedMs + delayMs) }, delayMs, TimeUnit.MILLISECONDS)
     }
 
-    private fun onGap(send: Send, delayMs: Long) {
+    /** A server that sends events of other requests has put this one aside for a while, which is cheaper than a move. */
+    private fun onGap(send: Send, delayMs: Long, waitedMs: Long) {
         if (isOver || current !== send || attempts >= route.maxAttempts) return
+        val quietMs = send.server.lastByteMs?.let { context.nowMs() - it } ?: Long.MAX_VALUE
+        if (quietMs < delayMs && waitedMs < MAX_GAP_MS) return watch(send, delayMs, waitedMs)
         if (context.budgetOf(call.service).left(context.nowMs()) <= 0) return
-        send.failed("no event for $delayMs ms")
+        send.failed("no event for $waitedMs ms")
         send.cancel()
         tried += send.server.row.id
-        proceed()
+        restart()
     }
 
     private fun free(unused: Cache) {
@@ -132,6 +167,11 @@
         private var body: ByteBuf = Unpooled.EMPTY_BUFFER
         private var sentMs = context.nowMs()
         private val queued = server.promptTokens + server.otherPromptTokens + size.prompt
+        private var isReading = true
+
+        init {
+            server.promptTokens += size.prompt
+        }
 
         override fun request(): FullHttpRequest {
             sentMs = context.nowMs()
@@ -148,16 +188,13 @@
         }
 
         override fun onEnd() {
-            server.promptTokens -= size.prompt
             val handle = if (status == HttpResponseStatus.OK) context.dialect.prefillHandle(body) else null
-            body.release()
+            onDropped()
             if (handle == null) return onUnusable()
             server.onPromptRead(queued, context.nowMs() - sentMs)
             cache = Cache(server, handle)
-            val tokens = size.prompt + size.answer
-            val now = context.nowMs()
-            val decode = context.generations.decode(context.candidates(call.service), tried, tokens, engine, now)
-            if (decode == null) giveUp("no decode server") else run(decode)
+            val kept = place?.takeIf { it.takesWork && !it.isAvoided(context.nowMs()) }
+            runWithCache(kept)
         }
 
         private fun onUnusable() {
@@ -165,36 +202,44 @@
             if (rejected) server.onFull(context.nowMs()) else server.onFailure(context.nowMs())
             current?.logFailure("prefill answered ${status.code()}")
             context.budgetOf(call.service).take(context.nowMs())
-            tried += server.row.id
-            proceed()
+            if (!rejected) tried += server.row.id
+            restart()
         }
 
         override fun onFailure(failure: SendFailure) {
             onDropped()
             tried += server.row.id
-            proceed()
+            restart()
         }
 
         override fun onDropped() {
-            server.promptTokens -= size.prompt
             body.release()
+            body = Unpooled.EMPTY_BUFFER
+            if (!isReading) return
+            isReading = false
+            server.promptTokens -= size.prompt
+            context.onLoadChanged()
         }
     }
 
+    /** Runs the request at [kept], or where else there is room; the KV cache lives for a moment only. */
+    private fun runWithCache(kept: Backend?) {
+        val now = context.nowMs()
+        val server = kept ?: context.generations.decode(context.candidates(call.service), tried, need, engine, now)
+            ?: return giveUp("no decode server")
+        if (server !== place) take(server)
+        run(server)
+    }
+
     private inner class Run(private val server: Backend, private val source: Cache?) : SendHandler {
         private val splitter = EventSplitter()
         private val before = runState
         private var head: HttpResponse? = null
         private var failureBody: ByteBuf = Unpooled.EMPTY_BUFFER
-        private var isReading = false
-        private var isCounted = true
+        private var isReading = source == null
 
         init {
-            server.memoryTokens += size.prompt + size.answer
-            if (source == null) {
-                server.promptTokens += size.prompt
-                isReading = true
-            }
+            if (isReading) server.promptTokens += size.prompt
         }
 
         override fun request(): FullHttpRequest {
@@ -207,27 +252,21 @@
             }
         }
 
-        /** Takes this run out of what the server is believed to hold. */
-        private fun settle() {
-            stopReading()
-            if (!isCounted) return
-            isCounted = false
-            server.memoryTokens -= size.prompt + size.answer
-        }
-
         private fun stopReading() {
-            if (isReading) server.promptTokens -= size.prompt
+            if (!isReading) return
             isReading = false
+            server.promptTokens -= size.prompt
+            context.onLoadChanged()
         }
 
         override fun onHead(head: HttpResponse) {
             this.head = head
-            if (isStream(head)) stopReading()
         }
 
         override fun onContent(content: ByteBuf) {
             val answer = head ?: return
             if (isStream(answer)) {
+                stopReading()
                 splitter.feed(content).forEach(::pass)
             } else if (failureBody.readableBytes() < MAX_SMALL_BYTES) {
                 failureBody = Unpooled.wrappedBuffer(failureBody, content.retain())
@@ -246,7 +285,7 @@
                 lastEvent = it.toString()
             }
             call.reply.part(event.bytes)
-            current?.let { watch(it, EVENT_GAP_MS) }
+            current?.let { watch(it, EVENT_GAP_MS, 0) }
         }
 
         private fun begin() {
@@ -258,7 +297,7 @@
         }
 
         override fun onEnd() {
-            settle()
+            stopReading()
             val answer = head ?: return
             if (isStream(answer)) {
                 begin()
@@ -278,16 +317,13 @@
             rejections++
             current?.logFailure("not executed: $status")
             if (rejections > MAX_REJECTIONS) return giveUp("rejected by ${server.row.id} with $status")
-            if (source == null) {
-                server.onFull(context.nowMs())
-                tried += server.row.id
+            if (source != null && server.takesWork) {
+                // The KV cache has lapsed or the server is full; the same server may read the prompt itself.
+                source.server.onFailure(context.nowMs())
+                return run(server)
             }
-            proceedAfterRejection()
-        }
-
-        /** The KV cache has lapsed, or the server was full: the same server may read the prompt itself. */
-        private fun proceedAfterRejection() {
-            if (source != null && server.takesWork && server.row.id !in tried) run(server) else proceed()
+            server.onFull(context.nowMs())
+            restart()
         }
 
         private fun onBad(answer: HttpResponse) {
@@ -298,7 +334,7 @@
             val encoded = answer.headers().contains(HttpHeaderNames.CONTENT_ENCODING)
             val isFailure = status.codeClass() != HttpStatusClass.SUCCESS
             when {
-                status.codeClass() != HttpStatusClass.CLIENT_ERROR && canRepeat() -> proceed()
+                status.codeClass() != HttpStatusClass.CLIENT_ERROR && canRepeat() -> restart()
                 begun || promises || encoded || !isFailure -> fail("answer ${status.code()} of ${server.row.id}")
                 else -> {
                     call.reply.answer(status.code(), answer.headers().endToEnd(), failureBody.retain())
@@ -309,7 +345,7 @@
         }
 
         override fun onDropped() {
-            settle()
+            stopReading()
             splitter.clear()
             failureBody.release()
         }
@@ -318,16 +354,11 @@
             onDropped()
             tried += server.row.id
             when {
-                failure is SendFailure.NotSent -> {
+                failure is SendFailure.NotSent && source != null -> {
                     cache = source
-                    val tokens = size.prompt + size.answer
-                    val now = context.nowMs()
-                    val other = source?.let {
-                        context.generations.decode(context.candidates(call.service), tried, tokens, engine, now)
-                    }
-                    if (other != null) run(other) else proceed()
+                    runWithCache(null)
                 }
-                canRepeat() -> proceed()
+                failure is SendFailure.NotSent || canRepeat() -> restart()
                 else -> fail(failure.reason)
             }
         }
@@ -342,7 +373,10 @@
 
     private companion object {
         /** Assumed of a request that does not state its size. */
-        val DEFAULT_SIZE = GenerationSize(prompt = 1_000, answer = 100)
+        val DEFAULT_SIZE = GenerationSize(prompt = 1_000, answer = 100, expected = 100)
+
+        /** The answer grows while it is made, and answers end at different times. */
+        const val HELD_ANSWER_SHARE = 0.75
 
         /** Prefill calls of one request before a decode server reads the prompt itself. */
         const val MAX_PREFILLS = 2
@@ -360,11 +394,14 @@
         /** A pause that makes a stream late and is longer than a lost packet takes. */
         const val EVENT_GAP_MS = 600L
 
+        /** A caller gives up after a little more than this. */
+        const val MAX_GAP_MS = 1_800L
+
         /** Answers to prefills and failures are small. */
         const val MAX_SMALL_BYTES = 65_536
 
         /** Time in which an engine finishes a few requests. */
-        const val RETRY_MS = 300L
+        const val RETRY_MS = 1_000L
 
         /** Statuses that promise that the request has not run. */
         val PROMISES = setOf(408, 421, 429, 503)
--- /dev/null
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/life/GenerationLine.kt
@@ -0,0 +1,70 @@
+package gentiandale.relay.life
+
+import gentiandale.relay.placement.Waiting
+import gentiandale.relay.placement.WaitingOrder
+import io.netty.channel.EventLoop
+import java.util.concurrent.TimeUnit
+
+/** Generations of this VM that wait for room at the engines. */
+internal class GenerationLine(private val loop: EventLoop, private val nowMs: () -> Long) {
+    /** A generation in the line. */
+    interface Member {
+        val waiting: Waiting
+
+        /** Begins if there is room, and returns whether it has left the line. */
+        fun tryBegin(): Boolean
+
+        /** Gives up waiting. */
+        fun giveBack(reason: String)
+    }
+
+    private val order = WaitingOrder()
+    private val members = ArrayList<Member>()
+    private var isPumping = false
+    private var isTimed = false
+
+    /** Generations that wait. */
+    val size: Int get() = members.size
+
+    /** Lets [member] begin, or wait, or be given back at once. */
+    fun enter(member: Member) {
+        if (order.isTooLong(members.size)) return member.giveBack("${members.size} requests wait already")
+        members += member
+        pump()
+    }
+
+    fun leave(member: Member) {
+        members -= member
+    }
+
+    /** Lets generations begin in their order as long as there is room. */
+    fun pump() {
+        if (isPumping || members.isEmpty()) return
+        isPumping = true
+        val now = nowMs()
+        val ordered = members.sortedWith { a, b -> order.comparator(now).compare(a.waiting, b.waiting) }
+        val begun = ordered.takeWhile { it !in members || it.tryBegin().also { begun -> if (begun) members -= it } }.size
+        ordered.drop(begun).filter { it in members && order.isHopeless(it.waiting, now) }.forEach {
+            members -= it
+            it.giveBack("no room in time")
+        }
+        isPumping = false
+        if (members.isNotEmpty()) startTimer()
+    }
+
+    private fun startTimer() {
+        if (isTimed) return
+        isTimed = true
+        loop.schedule(::onTimer, INTERVAL_MS, TimeUnit.MILLISECONDS)
+    }
+
+    private fun onTimer() {
+        isTimed = false
+        pump()
+    }
+
+    private companion object {
+        /** Room that nobody reports, such as the end of a pause after a failure, is found in this time. */
+        const val INTERVAL_MS = 40L
+    }
+}
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/life/RelayContext.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/life/RelayContext.kt
@@ -26,6 +26,8 @@
     val random: Random,
     val log: EventLog,
     val stats: RelayStats,
+    val line: GenerationLine,
+    val onLoadChanged: () -> Unit,
 ) {
     /** Returns the servers of [service] that take work. */
     fun candidates(service: ServiceName): List<Backend> = book.ready(service)
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/life/RequestLife.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/life/RequestLife.kt
@@ -159,7 +159,7 @@
         val passedOver = tried.joinToString(",") { it.value }.ifEmpty { null }
         context.log.write(
             RelayEvent.Placed(
-                call.id, route.name, call.version, step, server.row.id, attempts, server.running, passedOver, leftMs(),
+                call.id, route.name, call.version, step, server.ownLoad, server.othersLoad, attempts, passedOver, leftMs(),
             ),
         )
         server.running++
@@ -246,6 +246,7 @@
         }
 
         override fun onContent(content: ByteBuf) {
+            server.lastByteMs = context.nowMs()
             if (!isDone) handler.onContent(content)
         }
 
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/placement/GenerationPlacement.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/placement/GenerationPlacement.kt
@@ -7,83 +7,111 @@
 import gentiandale.relay.routing.EngineRule
 import kotlin.random.Random
 
-/** Where a generation's prompt is read. */
+/**
+ * What a generation needs.
+ *
+ * @param promptTokens tokens to read.
+ * @param memoryTokens tokens that it is expected to hold at its decode server.
+ */
+public data class GenerationNeed(val promptTokens: Int, val memoryTokens: Int)
+
+/** Where a generation runs, or why it does not. */
 public sealed interface GenerationPlan {
-    /** A prefill server reads the prompt, and a decode server fetches the KV cache. */
-    public data class HandOver(val prefill: Backend) : GenerationPlan
+    /**
+     * It runs at [decode]; [prefill] reads the prompt, or the decode server itself where that is null.
+     */
+    public data class Place(val decode: Backend, val prefill: Backend?) : GenerationPlan
+
+    /** Every server that could run it is full at present. */
+    public data object NoRoom : GenerationPlan
 
-    /** A decode server reads the prompt itself, at a lower speed and beside its running work. */
-    public data class OnDecode(val decode: Backend) : GenerationPlan
+    /** No server could run it. */
+    public data object NoServer : GenerationPlan
 }
 
 /**
- * Chooses engines for generations by the time at which the prompt is expected to be read, and the decode server by its
- * running work and free memory. It answers bursts, lost prefill servers and links or handles that fail.
+ * Chooses engines for generations: a decode server with room for prompt and answer, and the prefill server that has
+ * read the prompt first. Room is what all VMs together have not placed yet, so memory is not overbooked: an engine
+ * that runs out of memory throws out a running request, and everything that it has read is read again.
  */
 public class GenerationPlacement(private val home: DataCentreId, private val random: Random) {
-    /** Returns where to read a prompt of [tokens] tokens, or null if no server takes work. */
-    public fun plan(candidates: List<Backend>, excluded: Set<ServerId>, tokens: Int, nowMs: Long): GenerationPlan? {
-        val open = usable(candidates, excluded, nowMs)
-        val prefill = open.filter { it.row.kind == ServerKind.PREFILL }.minByOrNull { readMs(it, tokens) }
-        val decode = open.filter { it.row.kind != ServerKind.PREFILL }.minByOrNull { readMs(it, tokens) }
-        if (decode == null) return null
-        if (prefill == null) return GenerationPlan.OnDecode(decode)
-        val handOverMs = readMs(prefill, tokens) + HAND_OVER_MS
-        return if (handOverMs <= readMs(decode, tokens)) {
-            GenerationPlan.HandOver(prefill)
-        } else {
-            GenerationPlan.OnDecode(decode)
-        }
+    /** Returns where to run [need] among [candidates] without those in [excluded]. */
+    public fun plan(
+        candidates: List<Backend>,
+        excluded: Set<ServerId>,
+        need: GenerationNeed,
+        engine: EngineRule?,
+        nowMs: Long,
+    ): GenerationPlan {
+        val (prefills, decodes) = sound(candidates, excluded, nowMs).partition { it.row.kind == ServerKind.PREFILL }
+        if (decodes.isEmpty()) return GenerationPlan.NoServer
+        val decode = roomiest(decodes, need, engine) ?: return GenerationPlan.NoRoom
+        val ready = prefills.filter { !it.isAvoided(nowMs) }
+        if (ready.isEmpty()) return GenerationPlan.Place(decode, null)
+        val prefill = ready.filter { backlog(it) <= MAX_BACKLOG_TOKENS }.minByOrNull { readMs(it, need.promptTokens) }
+        return if (prefill == null) GenerationPlan.NoRoom else GenerationPlan.Place(decode, prefill)
     }
 
-    /** Returns the decode server for [tokens] tokens of prompt and answer, or null if none takes work. */
+    /** Returns a decode server for a prompt that has been read already, the fullest as a last resort, or null. */
     public fun decode(
         candidates: List<Backend>,
         excluded: Set<ServerId>,
-        tokens: Int,
+        need: GenerationNeed,
         engine: EngineRule?,
         nowMs: Long,
     ): Backend? {
-        val open = usable(candidates, excluded, nowMs).filter { it.row.kind != ServerKind.PREFILL }
-        val memory = engine?.memoryTokens?.toLong() ?: Long.MAX_VALUE
-        val roomy = open.filter { it.memoryTokens + it.otherMemoryTokens + tokens <= memory }
-        return roomy.ifEmpty { open }.minByOrNull { decodeCost(it) }
+        val decodes = sound(candidates, excluded, nowMs).filter { it.row.kind != ServerKind.PREFILL }
+        return roomiest(decodes, need, engine) ?: decodes.minByOrNull { held(it) }
     }
 
     /** Returns the time in milliseconds after which [backend] is expected to have read [tokens] tokens more. */
     public fun readMs(backend: Backend, tokens: Int): Double {
-        val waiting = backend.promptTokens + backend.otherPromptTokens + tokens
         val way = if (backend.row.dataCentre == home) 0.0 else REMOTE_MS
-        return waiting / backend.tokensPerMs * (1 + FAILURE_COST * backend.failureShare) + way + random.nextDouble()
+        val failures = 1 + FAILURE_COST * backend.failureShare
+        return (backlog(backend) + tokens) / backend.tokensPerMs * failures + way + random.nextDouble()
+    }
+
+    private fun backlog(backend: Backend) = backend.promptTokens + backend.otherPromptTokens
+
+    private fun held(backend: Backend) = backend.memoryTokens + backend.otherMemoryTokens
+
+    private fun roomiest(decodes: List<Backend>, need: GenerationNeed, engine: EngineRule?): Backend? {
+        val memory = engine?.memoryTokens?.toLong() ?: Long.MAX_VALUE
+        val places = engine?.places ?: Int.MAX_VALUE
+        return decodes
+            .filter { held(it) == 0L || held(it) + need.memoryTokens <= memory }
+            .filter { it.running + it.otherRunning < places }
+            .minByOrNull { cost(it) }
     }
 
-    private fun decodeCost(backend: Backend): Double {
-        val busy = backend.running + backend.otherRunning + backend.promptTokens / PROMPT_TOKENS_PER_REQUEST
-        val way = if (backend.row.dataCentre == home) 0.0 else REMOTE_RUNNING
-        return (busy + way + random.nextDouble()) * (1 + FAILURE_COST * backend.failureShare)
+    private fun cost(backend: Backend): Double {
+        val way = if (backend.row.dataCentre == home) 0.0 else REMOTE_TOKENS
+        val noise = random.nextDouble() * NOISE_TOKENS
+        return (held(backend) + way + noise) * (1 + FAILURE_COST * backend.failureShare)
     }
 
-    private fun usable(candidates: List<Backend>, excluded: Set<ServerId>, nowMs: Long): List<Backend> {
+    /** Servers to consider: those that are passed over count only if no other of their kind is there. */
+    private fun sound(candidates: List<Backend>, excluded: Set<ServerId>, nowMs: Long): List<Backend> {
         val open = candidates.filter { it.takesWork && it.row.id !in excluded }
-        val sound = open.filter { !it.isAvoided(nowMs) }
-        val kinds = sound.map { it.row.kind == ServerKind.PREFILL }.toSet()
-        return sound + open.filter { it !in sound && (it.row.kind == ServerKind.PREFILL) !in kinds }
+        val decodes = open.filter { it.row.kind != ServerKind.PREFILL }
+        val soundDecodes = decodes.filter { !it.isAvoided(nowMs) }
+        return open.filter { it.row.kind == ServerKind.PREFILL } + soundDecodes.ifEmpty { decodes }
     }
 
     private companion object {
-        /** Second call and the way of the cache, in milliseconds. */
-        const val HAND_OVER_MS = 12.0
-
         /** Way to another data centre and back, in milliseconds. */
         const val REMOTE_MS = 3.0
 
-        /** A remote decode server is worth it if it runs this many requests less. */
-        const val REMOTE_RUNNING = 0.5
+        /** A remote decode server is worth it if it holds this many tokens less. */
+        const val REMOTE_TOKENS = 2_000.0
 
-        /** Prompt tokens that a decode server reads itself weigh like one more running request each this many. */
-        const val PROMPT_TOKENS_PER_REQUEST = 1_000.0
+        /** Keeps VMs with the same knowledge from choosing the same server. */
+        const val NOISE_TOKENS = 1_500.0
 
         /** A failed attempt costs the time of another one. */
         const val FAILURE_COST = 4.0
+
+        /** Prompts in a prefill server beyond this would be read too late, and their caches fill its memory. */
+        const val MAX_BACKLOG_TOKENS = 30_000L
     }
 }
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/upstream/Dialect.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/upstream/Dialect.kt
@@ -51,5 +51,5 @@
     public fun releaseCache(handle: String): FullHttpRequest
 }
 
-/** Tokens of a generation: [prompt] tokens to read and at most [answer] tokens to make. */
-public data class GenerationSize(val prompt: Int, val answer: Int)
+/** Tokens of a generation: [prompt] tokens to read, at most [answer] tokens to make, of which [expected] are likely. */
+public data class GenerationSize(val prompt: Int, val answer: Int, val expected: Int)
