--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/RelayEvent.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/RelayEvent.kt
@@ -4,6 +4,7 @@
 import gentiandale.core.backend.ServerLoad
 import gentiandale.core.log.LogEvent
 import gentiandale.core.log.LogLine
+import gentiandale.relay.upstream.GenerationSize
 
 /** Decisions of the relay. */
 public sealed class RelayEvent(override val name: String) : LogEvent {
@@ -65,6 +66,29 @@
         }
     }
 
+    /**
+     * A generation has room reserved for it.
+     *
+     * @param waitedMs time since it arrived.
+     * @param ahead generations of this VM that still wait.
+     */
+    public class Reserved(
+        private val request: String?,
+        private val decode: ServerId,
+        private val prefill: ServerId?,
+        private val size: GenerationSize,
+        private val need: Int,
+        private val waitedMs: Long,
+        private val ahead: Int,
+    ) : RelayEvent("reserved") {
+        override fun describe(line: LogLine) {
+            line.field("request", request).field("decode", decode.value).field("prefill", prefill?.value)
+                .field("prompt_tokens", size.prompt).field("answer_limit", size.answer)
+                .field("answer_expected", size.expected).field("need_tokens", need)
+                .field("waited_ms", waitedMs).field("ahead", ahead)
+        }
+    }
+
     /**
      * A request has its final answer, or its caller has left.
      *
@@ -80,11 +104,12 @@
         private val attempts: Int,
         private val elapsedMs: Long,
         private val firstMs: Long?,
+        private val lastEvent: String? = null,
     ) : RelayEvent("ended") {
         override fun describe(line: LogLine) {
             line.field("request", request).field("route", route).field("outcome", outcome).field("status", status)
                 .field("reason", reason).field("attempts", attempts).field("elapsed_ms", elapsedMs)
-                .field("first_ms", firstMs)
+                .field("first_ms", firstMs).field("last_event", lastEvent)
         }
     }
 }
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/life/GenerationLife.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/life/GenerationLife.kt
@@ -1,6 +1,7 @@
 package gentiandale.relay.life
 
 import gentiandale.core.ServerKind
+import gentiandale.relay.RelayEvent
 import gentiandale.relay.backend.Backend
 import gentiandale.relay.placement.GenerationNeed
 import gentiandale.relay.placement.GenerationPlan
@@ -33,7 +34,6 @@
     private var place: Backend? = null
     private var prefills = 0
     private var begun = false
-    private var lastEvent: String? = context.dialect.lastEventId(call.headers)
     private var lastNumber: Long? = lastEvent?.toLongOrNull()
     private var gapTimer: ScheduledFuture<*>? = null
     private var current: Send? = null
@@ -63,12 +63,21 @@
             is GenerationPlan.NoServer -> giveUp("no decode server")
             is GenerationPlan.Place -> {
                 take(plan.decode)
+                logReserved(plan, now)
                 if (plan.prefill == null) run(plan.decode) else prefill(plan.prefill)
             }
         }
         return true
     }
 
+    private fun logReserved(plan: GenerationPlan.Place, now: Long) {
+        val waitedMs = now - call.request.startMs
+        val prefill = plan.prefill?.row?.id
+        val ahead = context.line.size - 1
+        val need = need.memoryTokens
+        context.log.write(RelayEvent.Reserved(call.id, plan.decode.row.id, prefill, size, need, waitedMs, ahead))
+    }
+
     private fun prefillServers() =
         context.candidates(call.service).filter { it.row.kind == ServerKind.PREFILL }.map { it.row.id }
 
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/life/RequestLife.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/life/RequestLife.kt
@@ -41,6 +41,9 @@
     protected var isOver = false
         private set
     protected var firstMs: Long? = null
+
+    /** Id of the last event that the caller has. */
+    protected var lastEvent: String? = context.dialect.lastEventId(call.headers)
     private var lastReason: String? = null
     private var sends = 0
     private var endTimer: ScheduledFuture<*>? = null
@@ -117,7 +120,9 @@
         release()
         call.request.body.release()
         val elapsedMs = context.nowMs() - call.request.startMs
-        context.log.write(RelayEvent.Ended(call.id, route.name, outcome, status, reason, attempts, elapsedMs, firstMs))
+        context.log.write(
+            RelayEvent.Ended(call.id, route.name, outcome, status, reason, attempts, elapsedMs, firstMs, lastEvent),
+        )
         context.stats.onEnded(route.name, route.urgency, outcome, elapsedMs, firstMs)
     }
 
