--- a/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/ControlHub.kt
+++ b/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/ControlHub.kt
@@ -6,6 +6,8 @@
 import gentiandale.core.backend.BackendRow
 import gentiandale.core.backend.BackendState
 import gentiandale.core.backend.BackendTable
+import gentiandale.core.backend.ServerLoad
+import gentiandale.core.backend.ServiceName
 import gentiandale.core.log.EventLog
 import gentiandale.state.Document
 
@@ -37,6 +39,8 @@
     private val controls = HashMap<VmId, Entry>()
     private val board = LoadBoard()
     private var isBoardChanged = false
+    private var toldLoads = emptyList<ServerLoad>()
+    private var toldLoadsMs = Long.MIN_VALUE / 2
     private var fetchedMs = Long.MIN_VALUE / 2
 
     /** The accepted configuration of the highest version that this VM knows. */
@@ -52,6 +56,14 @@
     /** Number of backend servers that are known and have not ended. */
     public val serverCount: Int get() = table.all.count { it.state != BackendState.GONE }
 
+    /** Returns the engines of the service [name] with the load of all entry VMs, each with [memoryTokens] of memory. */
+    public fun engines(name: ServiceName, memoryTokens: Int): List<EngineUse> {
+        val fresh = clock.monotonicMs() - toldLoadsMs < TOLD_LOADS_MS
+        val loads = board.sums.ifEmpty { if (fresh) toldLoads else emptyList() }.associateBy { it.id }
+        return table.all.filter { it.service == name && it.state != BackendState.GONE }
+            .map { EngineUse(it, loads[it.id] ?: ServerLoad(it.id), memoryTokens) }
+    }
+
     /** Sets the control VMs that settings name. */
     public fun setSeeds(seeds: Set<VmId>) {
         roster.seeds = seeds
@@ -134,6 +146,10 @@
 
     private fun onGreet(from: VmId, message: FleetMessage.Greet, now: Long) {
         roster.onHeard(from, message.controls, now)
+        if (message.loads.isNotEmpty()) {
+            toldLoads = message.loads
+            toldLoadsMs = now
+        }
         val control = controls.getOrPut(from) { Entry(0, 0, now) }
         sendWhole(from, control, message.digest, now)
         if (message.version > (document?.version ?: 0) && now - fetchedMs > FETCH_MS) {
@@ -163,7 +179,7 @@
 
     private fun greetAll() {
         val now = clock.monotonicMs()
-        val greeting = FleetMessage.Greet(document?.version ?: 0, table.digest(), roster.heard(now))
+        val greeting = FleetMessage.Greet(document?.version ?: 0, table.digest(), roster.heard(now), board.sums)
         roster.all.forEach { sender.send(it, greeting) }
     }
 
@@ -194,6 +210,9 @@
         /** Interval of [tickLoads] in milliseconds: shorter than most times between two requests for an engine. */
         public const val LOAD_TICK_MS: Long = 30
 
+        /** Loads that another control VM told are too old after this time. */
+        private const val TOLD_LOADS_MS = 1_500L
+
         /** An entry VM that has said nothing for this long does not share budgets any more. */
         private const val ENTRY_LOST_MS = 3_000L
 
--- a/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/FleetEvent.kt
+++ b/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/FleetEvent.kt
@@ -1,5 +1,6 @@
 package gentiandale.fleet
 
+import gentiandale.core.FencingNumber
 import gentiandale.core.VmId
 import gentiandale.core.backend.BackendRow
 import gentiandale.core.log.LogEvent
@@ -67,6 +68,18 @@
         }
     }
 
+    /** An engine was ordered to change its stage; [status] is its answer, null if none came. */
+    public class StageOrdered(
+        private val change: StageChange,
+        private val fencing: FencingNumber,
+        private val status: Int?,
+    ) : FleetEvent("stage-order") {
+        override fun describe(line: LogLine) {
+            line.field("server", change.server.id.value).field("stage", change.stage.name.lowercase())
+                .field("reason", change.reason).field("fencing", fencing.value).field("status", status)
+        }
+    }
+
     /** An operator's configuration was taken, or not. */
     public class PutDecided(
         private val version: Long?,
--- a/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/FleetMessage.kt
+++ b/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/FleetMessage.kt
@@ -31,10 +31,19 @@
     @SerialName("n")
     public data class Notice(val version: Long, val controls: List<VmId>, val entries: Int) : FleetMessage
 
-    /** A control VM greets another one. */
+    /**
+     * A control VM greets another one.
+     *
+     * @param loads load of all entry VMs on engines, as reported to the sender; empty if none was.
+     */
     @Serializable
     @SerialName("g")
-    public data class Greet(val version: Long, val digest: Long, val controls: List<VmId>) : FleetMessage
+    public data class Greet(
+        val version: Long,
+        val digest: Long,
+        val controls: List<VmId>,
+        val loads: List<ServerLoad> = emptyList(),
+    ) : FleetMessage
 
     /** What is known of [rows]. */
     @Serializable
--- a/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/LoadBoard.kt
+++ b/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/LoadBoard.kt
@@ -13,6 +13,9 @@
     private val total = HashMap<ServerId, ServerLoad>()
     private val told = HashMap<VmId, Map<ServerId, ServerLoad>>()
 
+    /** Load of all VMs on each engine that has any. */
+    val sums: List<ServerLoad> get() = total.values.filter { it != ServerLoad(it.id) }
+
     /** Replaces the report of [vm]. */
     fun report(vm: VmId, loads: List<ServerLoad>) {
         val after = loads.associateBy { it.id }
--- /dev/null
+++ b/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/StageBalance.kt
@@ -0,0 +1,87 @@
+package gentiandale.fleet
+
+import gentiandale.core.ServerId
+import gentiandale.core.ServerKind
+import gentiandale.core.backend.BackendRow
+import gentiandale.core.backend.BackendState
+import gentiandale.core.backend.ServerLoad
+
+/**
+ * An engine and the load of all entry VMs on it.
+ *
+ * @param memoryTokens tokens that its memory holds.
+ */
+public data class EngineUse(val row: BackendRow, val load: ServerLoad, val memoryTokens: Int)
+
+/** An engine that is to change its stage. */
+public data class StageChange(val server: BackendRow, val stage: ServerKind, val reason: String)
+
+/**
+ * Decides when an engine changes between prefill and decode. It answers lasting shifts between long prompts and long
+ * answers: one stage is well used while the other one rests. A change costs seconds of the engine, so short bursts are
+ * left to the waiting line, and changes are rare.
+ *
+ * @param switchMs time in milliseconds for which an engine serves nothing while it changes.
+ */
+public class StageBalance(private val switchMs: Long) {
+    private class Use(var value: Double? = null) {
+        fun add(sample: Double) {
+            value = value?.let { it + GAIN * (sample - it) } ?: sample
+        }
+    }
+
+    private val decodeUse = Use()
+    private val prefillUse = Use()
+    private var changedMs: Long? = null
+
+    /** Notes the present use of [engines] and returns the change to make now, or null. */
+    public fun decide(engines: List<EngineUse>, nowMs: Long): StageChange? {
+        val ready = engines.filter { it.row.state == BackendState.READY && !it.row.silent }
+        val (prefills, decodes) = ready.partition { it.row.kind == ServerKind.PREFILL }
+        if (decodes.isEmpty()) return null
+        decodeUse.add(decodes.sumOf { it.load.memoryTokens.toDouble() / it.memoryTokens } / decodes.size)
+        prefillUse.add(if (prefills.isEmpty()) 0.0 else prefills.count { it.load.promptTokens > 0 }.toDouble() / prefills.size)
+        val pauseMs = PAUSES * switchMs
+        if (changedMs?.let { nowMs - it < pauseMs } == true) return null
+        return (toDecode(prefills) ?: toPrefill(prefills, decodes))?.also { changedMs = nowMs }
+    }
+
+    private fun toDecode(prefills: List<EngineUse>): StageChange? {
+        val decode = decodeUse.value ?: return null
+        val prefill = prefillUse.value ?: return null
+        if (prefills.size < 2 || decode < BUSY) return null
+        val after = prefill * prefills.size / (prefills.size - 1)
+        if (after > PREFILL_LIMIT) return null
+        val chosen = prefills.minBy { it.load.promptTokens }
+        return StageChange(chosen.row, ServerKind.DECODE, describe(decode, prefill))
+    }
+
+    private fun toPrefill(prefills: List<EngineUse>, decodes: List<EngineUse>): StageChange? {
+        val decode = decodeUse.value ?: return null
+        val prefill = prefillUse.value ?: return null
+        val starved = prefills.isEmpty() || prefill > PREFILL_BUSY
+        if (decodes.size < 2 || !starved) return null
+        val after = decode * decodes.size / (decodes.size - 1)
+        if (after > BUSY) return null
+        val chosen = decodes.minBy { it.load.memoryTokens }
+        return StageChange(chosen.row, ServerKind.PREFILL, describe(decode, prefill))
+    }
+
+    private fun describe(decode: Double, prefill: Double) =
+        "decode memory %.2f used, prefill %.2f busy".format(java.util.Locale.ROOT, decode, prefill)
+
+    private companion object {
+        /** Weight of a sample; with one each half second the value follows in about two seconds. */
+        const val GAIN = 0.25
+
+        /** Share of decode memory from which a burst of twice the load finds no room. */
+        const val BUSY = 0.5
+
+        /** Prefill servers that are busier than this make prompts wait. */
+        const val PREFILL_LIMIT = 0.6
+        const val PREFILL_BUSY = 0.9
+
+        /** Switch times between two changes, so that the effect of the first is seen. */
+        const val PAUSES = 2
+    }
+}
--- /dev/null
+++ b/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/StageOrders.kt
@@ -0,0 +1,48 @@
+package gentiandale.fleet
+
+import gentiandale.core.Clock
+import gentiandale.core.FencingNumber
+import gentiandale.core.log.EventLog
+
+/** Right to give orders: the leader of the control VMs has it, with its term as the fencing number. */
+public data class OrderRight(val fencing: FencingNumber)
+
+/** Sends orders to engines. */
+public fun interface OrderSender {
+    /** Sends [change] under [right]; [done] gets what the engine answered, or null. */
+    public fun send(change: StageChange, right: OrderRight, done: (Int?) -> Unit)
+}
+
+/**
+ * Gives orders to engines while this VM leads. A new leader waits until orders of the one before can't arrive any more,
+ * and each order is given only while the lead is confirmed.
+ *
+ * @param leaseMs time in milliseconds that a new leader waits.
+ * @param right returns the right to give orders if this VM has it at this moment, confirmed by a majority.
+ */
+public class StageOrders(
+    private val clock: Clock,
+    private val log: EventLog,
+    private val leaseMs: Long,
+    private val right: () -> OrderRight?,
+    private val sender: OrderSender,
+) {
+    private var held: OrderRight? = null
+    private var heldSinceMs = 0L
+    private var balance: StageBalance? = null
+
+    /** Looks at [engines], whose switch takes [switchMs] milliseconds, and gives the order that is due. */
+    public fun tick(engines: List<EngineUse>, switchMs: Long) {
+        val now = clock.monotonicMs()
+        val present = right()
+        if (present != held) {
+            held = present
+            heldSinceMs = now
+            balance = null
+        }
+        if (present == null || engines.isEmpty()) return
+        val change = (balance ?: StageBalance(switchMs).also { balance = it }).decide(engines, now) ?: return
+        if (now - heldSinceMs < leaseMs) return
+        sender.send(change, present) { status -> log.write(FleetEvent.StageOrdered(change, present.fencing, status)) }
+    }
+}
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/Relay.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/Relay.kt
@@ -18,6 +18,7 @@
 import gentiandale.relay.life.PlainLife
 import gentiandale.relay.life.RelayContext
 import gentiandale.relay.life.endToEnd
+import gentiandale.relay.placement.AnswerLengths
 import gentiandale.relay.placement.GenerationPlacement
 import gentiandale.relay.placement.PlainPlacement
 import gentiandale.relay.placement.RetryBudget
@@ -74,6 +75,7 @@
         log = log,
         stats = stats,
         line = line,
+        answers = AnswerLengths(),
         onLoadChanged = ::scheduleLoadReport,
     )
 
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/backend/Backend.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/backend/Backend.kt
@@ -70,6 +70,8 @@
     public var failuresInRow: Int = 0
         private set
 
+    private var fullInRow = 0
+
     /** Monotonic time in milliseconds until which it is passed over if another server is there. */
     public var avoidUntilMs: Long = Long.MIN_VALUE
         private set
@@ -89,7 +91,6 @@
         latencyMs += LATENCY_GAIN * (elapsedMs - latencyMs)
         failureShare -= FAILURE_GAIN * failureShare
         failuresInRow = 0
-        avoidUntilMs = Long.MIN_VALUE
     }
 
     /** Notes that it has read [tokens] prompt tokens in [elapsedMs] milliseconds, beside other work. */
@@ -106,9 +107,17 @@
         avoidUntilMs = nowMs + pauseMs
     }
 
+    /** Notes that it has taken a request. */
+    public fun onTaken() {
+        fullInRow = 0
+        avoidUntilMs = Long.MIN_VALUE
+    }
+
     /** Notes that it had no room at [nowMs]. */
     public fun onFull(nowMs: Long) {
-        avoidUntilMs = maxOf(avoidUntilMs, nowMs + FULL_PAUSE_MS)
+        fullInRow++
+        val pauseMs = FULL_PAUSE_MS shl (fullInRow - 1).coerceAtMost(MAX_DOUBLINGS)
+        avoidUntilMs = maxOf(avoidUntilMs, nowMs + pauseMs)
     }
 
     private companion object {
@@ -128,7 +137,7 @@
         const val FIRST_PAUSE_MS = 250L
         const val MAX_DOUBLINGS = 3
 
-        /** Pause after a full queue, about the time in which a place becomes free. */
+        /** First pause after a full queue, about the time in which a place becomes free; each further one doubles it. */
         const val FULL_PAUSE_MS = 60L
     }
 }
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/life/GenerationLife.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/life/GenerationLife.kt
@@ -28,8 +28,11 @@
     private class Cache(val server: Backend, val handle: String)
 
     private val size = context.dialect.size(call.headers) ?: DEFAULT_SIZE
-    private val need = GenerationNeed(size.prompt, size.prompt + (size.expected * HELD_ANSWER_SHARE).toInt())
     private val engine = call.rule?.engine
+    private val expected = context.answers.expect(route.name, size)
+    private val need = GenerationNeed(size.prompt, size.prompt + growth(0))
+    private var held = 0L
+    private var made = 0
     private var cache: Cache? = null
     private var place: Backend? = null
     private var prefills = 0
@@ -85,14 +88,23 @@
     private fun take(server: Backend) {
         leavePlace()
         place = server
-        server.memoryTokens += need.memoryTokens
+        hold(need.memoryTokens.toLong())
         context.onLoadChanged()
     }
 
+    /** Sets what the request is believed to hold at its place; regular reports tell the other VMs. */
+    private fun hold(tokens: Long) {
+        place?.let { it.memoryTokens += tokens - held }
+        held = tokens
+    }
+
+    /** Returns the tokens by which an answer of [made] tokens is expected to grow before others have ended. */
+    private fun growth(made: Int): Int = (expected - made).coerceIn(MIN_GROWTH_TOKENS, GROWTH_TOKENS)
+
     private fun leavePlace() {
-        val left = place ?: return
+        if (place == null) return
+        hold(0)
         place = null
-        left.memoryTokens -= need.memoryTokens
         context.onLoadChanged()
         context.loop.execute(context.line::pump)
     }
@@ -293,6 +305,8 @@
                 lastNumber = it
                 lastEvent = it.toString()
             }
+            made += engine?.tokensPerEvent ?: 1
+            hold(size.prompt.toLong() + made + growth(made))
             call.reply.part(event.bytes)
             current?.let { watch(it, EVENT_GAP_MS, 0) }
         }
@@ -313,6 +327,7 @@
                 val rest = splitter.takeRest()
                 if (rest.isReadable) call.reply.part(rest) else rest.release()
                 call.reply.end()
+                context.answers.observe(route.name, made)
                 return finish("answered", answer.status().code())
             }
             val status = answer.status()
@@ -384,8 +399,9 @@
         /** Assumed of a request that does not state its size. */
         val DEFAULT_SIZE = GenerationSize(prompt = 1_000, answer = 100, expected = 100)
 
-        /** The answer grows while it is made, and answers end at different times. */
-        const val HELD_ANSWER_SHARE = 0.75
+        /** Growth for which room is kept: until then some of the requests beside it have ended. */
+        const val GROWTH_TOKENS = 1_000
+        const val MIN_GROWTH_TOKENS = 200
 
         /** Prefill calls of one request before a decode server reads the prompt itself. */
         const val MAX_PREFILLS = 2
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/life/RelayContext.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/life/RelayContext.kt
@@ -5,6 +5,7 @@
 import gentiandale.relay.RelayStats
 import gentiandale.relay.backend.Backend
 import gentiandale.relay.backend.BackendBook
+import gentiandale.relay.placement.AnswerLengths
 import gentiandale.relay.placement.GenerationPlacement
 import gentiandale.relay.placement.PlainPlacement
 import gentiandale.relay.placement.RetryBudget
@@ -27,6 +28,7 @@
     val log: EventLog,
     val stats: RelayStats,
     val line: GenerationLine,
+    val answers: AnswerLengths,
     val onLoadChanged: () -> Unit,
 ) {
     /** Returns the servers of [service] that take work. */
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/life/RequestLife.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/life/RequestLife.kt
@@ -246,6 +246,7 @@
             if (isDone) return
             timer?.cancel(false)
             sentMs?.let { server.onAnswer(context.nowMs() - it) }
+            if (!context.dialect.isNotExecuted(head.status().code(), head.headers())) server.onTaken()
             server.waitingSinceMs = null
             handler.onHead(head)
         }
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/routing/RoutingTable.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/routing/RoutingTable.kt
@@ -11,7 +11,7 @@
 public class RoutingTable(
     public val version: Long,
     routes: List<RouteRule>,
-    services: List<ServiceRule>,
+    public val services: List<ServiceRule>,
     public val limits: CallerLimits,
 ) {
     private val byHost = routes.groupBy { it.host.lowercase() }
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/routing/ServiceRule.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/routing/ServiceRule.kt
@@ -9,12 +9,16 @@
  * @param memoryTokens tokens of prompts and answers that its memory holds.
  * @param tokenBytes size of the KV cache of one token.
  * @param handleLifetimeMs time in milliseconds for which the result of a prefill is kept.
+ * @param tokensPerEvent tokens of the answer that one event of a stream carries.
+ * @param switchMs time in milliseconds for which a change of the stage takes the engine out of service.
  */
 public data class EngineRule(
     val places: Int,
     val memoryTokens: Int,
     val tokenBytes: Long,
     val handleLifetimeMs: Long,
+    val tokensPerEvent: Int = 1,
+    val switchMs: Long = 0,
 )
 
 /**
