--- a/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/ControlHub.kt
+++ b/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/ControlHub.kt
@@ -105,7 +105,7 @@
                 board.report(from, message.loads)
                 isBoardChanged = true
             }
-            is FleetMessage.Notice, is FleetMessage.OtherLoad -> Unit
+            is FleetMessage.Notice, is FleetMessage.OtherLoad, is FleetMessage.Pause -> Unit
         }
     }
 
@@ -128,6 +128,12 @@
         if (isBoardChanged) tellLoads(all = false)
     }
 
+    /** Tells entry VMs that the engine [server] takes nothing for [forMs] milliseconds. */
+    public fun tellPause(server: ServerId, forMs: Long) {
+        val news = FleetMessage.Pause(server, forMs)
+        entries.keys.forEach { sender.send(it, news) }
+    }
+
     private fun tellLoads(all: Boolean) {
         isBoardChanged = false
         entries.keys.forEach { vm ->
--- a/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/EntryFeed.kt
+++ b/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/EntryFeed.kt
@@ -1,6 +1,7 @@
 package gentiandale.fleet
 
 import gentiandale.core.Clock
+import gentiandale.core.ServerId
 import gentiandale.core.VmId
 import gentiandale.core.backend.BackendRow
 import gentiandale.core.backend.ServerLoad
@@ -27,6 +28,9 @@
     /** Load that this VM has placed on engines. */
     public val ownLoad: List<ServerLoad>
 
+    /** Notes that the engine [server] takes nothing for [forMs] milliseconds. */
+    public fun onPause(server: ServerId, forMs: Long)
+
     /** Takes the load of the other entry VMs. */
     public fun onOtherLoad(loads: List<ServerLoad>)
 }
@@ -89,6 +93,7 @@
             is FleetMessage.Configuration -> onConfiguration(from, message.document)
             is FleetMessage.Servers -> onServers(from, message.rows, now)
             is FleetMessage.OtherLoad -> if (from == reportedTo) receiver.onOtherLoad(message.loads)
+            is FleetMessage.Pause -> receiver.onPause(message.server, message.forMs)
             is FleetMessage.Subscribe, is FleetMessage.Greet, is FleetMessage.Fetch, is FleetMessage.OwnLoad -> Unit
         }
     }
--- a/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/FleetMessage.kt
+++ b/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/FleetMessage.kt
@@ -1,5 +1,6 @@
 package gentiandale.fleet
 
+import gentiandale.core.ServerId
 import gentiandale.core.VmId
 import gentiandale.core.backend.BackendRow
 import gentiandale.core.backend.ServerLoad
@@ -60,6 +61,11 @@
     @SerialName("o")
     public data class OtherLoad(val loads: List<ServerLoad>) : FleetMessage
 
+    /** The engine [server] changes its stage and takes nothing for [forMs] milliseconds. */
+    @Serializable
+    @SerialName("p")
+    public data class Pause(val server: ServerId, val forMs: Long) : FleetMessage
+
     /** Asks for the configuration if its version is above [above]. */
     @Serializable
     @SerialName("f")
--- a/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/StageBalance.kt
+++ b/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/StageBalance.kt
@@ -43,7 +43,18 @@
         prefillUse.add(if (prefills.isEmpty()) 0.0 else prefills.count { it.load.promptTokens > 0 }.toDouble() / prefills.size)
         val pauseMs = PAUSES * switchMs
         if (changedMs?.let { nowMs - it < pauseMs } == true) return null
-        return (toDecode(prefills) ?: toPrefill(prefills, decodes))?.also { changedMs = nowMs }
+        val change = toRest(prefills, ready.size) ?: toDecode(prefills) ?: toPrefill(prefills, decodes)
+        return change?.also { changedMs = nowMs }
+    }
+
+    /** A decode server can read prompts as well, a prefill server does nothing else, so few of them are kept. */
+    private fun toRest(prefills: List<EngineUse>, engines: Int): StageChange? {
+        val wanted = (engines + ENGINES_PER_PREFILL - 1) / ENGINES_PER_PREFILL
+        val busy = prefillUse.value ?: return null
+        val after = busy * prefills.size / (prefills.size - 1).coerceAtLeast(1)
+        if (prefills.size <= wanted || after > PREFILL_LIMIT) return null
+        val chosen = prefills.minBy { it.load.promptTokens }
+        return StageChange(chosen.row, ServerKind.DECODE, "${prefills.size} of $engines engines are for prefill")
     }
 
     private fun toDecode(prefills: List<EngineUse>): StageChange? {
@@ -81,6 +92,9 @@
         const val PREFILL_LIMIT = 0.6
         const val PREFILL_BUSY = 0.9
 
+        /** Engines of which one is for prefill while nothing else is known of the load. */
+        const val ENGINES_PER_PREFILL = 4
+
         /** Switch times between two changes, so that the effect of the first is seen. */
         const val PAUSES = 2
     }
--- a/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/StageOrders.kt
+++ b/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/StageOrders.kt
@@ -2,6 +2,7 @@
 
 import gentiandale.core.Clock
 import gentiandale.core.FencingNumber
+import gentiandale.core.ServerId
 import gentiandale.core.log.EventLog
 
 /** Right to give orders: the leader of the control VMs has it, with its term as the fencing number. */
@@ -18,6 +19,7 @@
  * and each order is given only while the lead is confirmed.
  *
  * @param leaseMs time in milliseconds that a new leader waits.
+ * @param onAccepted called with an engine that takes nothing for a time in milliseconds from now on.
  * @param right returns the right to give orders if this VM has it at this moment, confirmed by a majority.
  */
 public class StageOrders(
@@ -26,7 +28,15 @@
     private val leaseMs: Long,
     private val right: () -> OrderRight?,
     private val sender: OrderSender,
+    private val onAccepted: (ServerId, Long) -> Unit,
 ) {
+    private companion object {
+        const val ACCEPTED = 202
+
+        /** Time until the change is told by a heartbeat, in milliseconds. */
+        const val TELL_MS = 1_500L
+    }
+
     private var held: OrderRight? = null
     private var heldSinceMs = 0L
     private var balance: StageBalance? = null
@@ -43,6 +53,9 @@
         if (present == null || engines.isEmpty()) return
         val change = (balance ?: StageBalance(switchMs).also { balance = it }).decide(engines, now) ?: return
         if (now - heldSinceMs < leaseMs) return
-        sender.send(change, present) { status -> log.write(FleetEvent.StageOrdered(change, present.fencing, status)) }
+        sender.send(change, present) { status ->
+            log.write(FleetEvent.StageOrdered(change, present.fencing, status))
+            if (status == ACCEPTED) onAccepted(change.server.id, switchMs + TELL_MS)
+        }
     }
 }
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/Relay.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/Relay.kt
@@ -2,6 +2,7 @@
 
 import gentiandale.core.Clock
 import gentiandale.core.DataCentreId
+import gentiandale.core.ServerId
 import gentiandale.core.ServerKind
 import gentiandale.core.backend.BackendRow
 import gentiandale.core.backend.ServerLoad
@@ -114,6 +115,11 @@
     public fun ownLoad(): List<ServerLoad> = book.all.filter { it.row.kind != ServerKind.PLAIN }.map { it.ownLoad }
         .filter { it.running > 0 || it.promptTokens > 0 || it.memoryTokens > 0 }
 
+    /** Passes over [server], which changes its stage, for [forMs] milliseconds or until the change is told. */
+    public fun pause(server: ServerId, forMs: Long) {
+        book[server]?.pause(clock.monotonicMs() + forMs)
+    }
+
     /** Takes the load that the other VMs have placed on engines. */
     public fun onOtherLoad(loads: List<ServerLoad>) {
         loads.forEach { book[it.id]?.onOtherLoad(it) }
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/backend/Backend.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/backend/Backend.kt
@@ -11,7 +11,7 @@
 public class Backend(row: BackendRow) {
     /** What the server has last said of itself. */
     public var row: BackendRow = row
-        internal set
+        private set
 
     /** Requests of this VM that it has not answered yet. */
     public var running: Int = 0
@@ -71,6 +71,7 @@
         private set
 
     private var fullInRow = 0
+    private var pausedUntilMs = Long.MIN_VALUE
 
     /** Monotonic time in milliseconds until which it is passed over if another server is there. */
     public var avoidUntilMs: Long = Long.MIN_VALUE
@@ -84,7 +85,21 @@
     public val takesWork: Boolean get() = row.state == BackendState.READY
 
     /** Returns whether it is passed over at [nowMs] if another server is there. */
-    public fun isAvoided(nowMs: Long): Boolean = nowMs < avoidUntilMs || row.silent
+    public fun isAvoided(nowMs: Long): Boolean = nowMs < avoidUntilMs || nowMs < pausedUntilMs || row.silent
+
+    /** Passes over it until [untilMs], or until it says that it has changed its stage. */
+    internal fun pause(untilMs: Long) {
+        pausedUntilMs = untilMs
+    }
+
+    /** Takes [newer] of the same process. */
+    internal fun update(newer: BackendRow) {
+        if (newer.kind != row.kind) {
+            pausedUntilMs = Long.MIN_VALUE
+            tokensPerMs = if (newer.kind == ServerKind.PREFILL) PREFILL_SPEED else DECODE_SPEED
+        }
+        row = newer
+    }
 
     /** Notes an answer whose head came after [elapsedMs] milliseconds. */
     public fun onAnswer(elapsedMs: Long) {
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/backend/BackendBook.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/backend/BackendBook.kt
@@ -47,9 +47,9 @@
             onReplaced(known)
         }
         if (row.state == BackendState.GONE) {
-            backends.remove(row.id)?.let { it.row = row }
+            backends.remove(row.id)?.update(row)
         } else {
-            backends.getOrPut(row.id) { Backend(row) }.row = row
+            backends.getOrPut(row.id) { Backend(row) }.update(row)
         }
     }
 }
