--- a/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/StageBalance.kt
+++ b/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/StageBalance.kt
@@ -33,18 +33,27 @@
     private val decodeUse = Use()
     private val prefillUse = Use()
     private var changedMs: Long? = null
+    private var changing: ServerId? = null
+    private var changingFrom: ServerKind? = null
 
     /** Notes the present use of [engines] and returns the change to make now, or null. */
     public fun decide(engines: List<EngineUse>, nowMs: Long): StageChange? {
-        val ready = engines.filter { it.row.state == BackendState.READY && !it.row.silent }
+        val ready = engines.filter { it.row.state == BackendState.READY && !it.row.silent && it.row.id != changing }
         val (prefills, decodes) = ready.partition { it.row.kind == ServerKind.PREFILL }
+        if (engines.any { it.row.id == changing && it.row.kind != changingFrom }) changing = null
         if (decodes.isEmpty()) return null
         decodeUse.add(decodes.sumOf { it.load.memoryTokens.toDouble() / it.memoryTokens } / decodes.size)
         prefillUse.add(if (prefills.isEmpty()) 0.0 else prefills.count { it.load.promptTokens > 0 }.toDouble() / prefills.size)
         val pauseMs = PAUSES * switchMs
-        if (changedMs?.let { nowMs - it < pauseMs } == true) return null
+        val isIdle = ready.all { it.load.memoryTokens == 0L && it.load.promptTokens == 0L }
+        val paceMs = if (isIdle) IDLE_PAUSE_MS else pauseMs
+        if (changedMs?.let { nowMs - it < paceMs } == true) return null
         val change = toRest(prefills, ready.size) ?: toDecode(prefills) ?: toPrefill(prefills, decodes)
-        return change?.also { changedMs = nowMs }
+        return change?.also {
+            changedMs = nowMs
+            changing = it.server.id
+            changingFrom = it.server.kind
+        }
     }
 
     /** A decode server can read prompts as well, a prefill server does nothing else, so few of them are kept. */
@@ -93,9 +102,12 @@
         const val PREFILL_BUSY = 0.9
 
         /** Engines of which one is for prefill while nothing else is known of the load. */
-        const val ENGINES_PER_PREFILL = 4
+        const val ENGINES_PER_PREFILL = 6
 
         /** Switch times between two changes, so that the effect of the first is seen. */
         const val PAUSES = 2
+
+        /** Time between two changes while no engine has work: until the first one has answered and is told. */
+        const val IDLE_PAUSE_MS = 2_000L
     }
 }
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/placement/GenerationPlacement.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/placement/GenerationPlacement.kt
@@ -48,8 +48,13 @@
         val decode = roomiest(decodes, need, engine) ?: return GenerationPlan.NoRoom
         val ready = prefills.filter { !it.isAvoided(nowMs) }
         if (ready.isEmpty()) return GenerationPlan.Place(decode, null)
-        val prefill = ready.filter { backlog(it) <= MAX_BACKLOG_TOKENS }.minByOrNull { readMs(it, need.promptTokens) }
-        return if (prefill == null) GenerationPlan.NoRoom else GenerationPlan.Place(decode, prefill)
+        val prefill = ready.minBy { readMs(it, need.promptTokens) }
+        val isSlow = readMs(prefill, need.promptTokens) > readMs(decode, need.promptTokens) + DECODE_READ_COST_MS
+        return when {
+            isSlow && backlog(decode) == 0L -> GenerationPlan.Place(decode, null)
+            backlog(prefill) > MAX_BACKLOG_TOKENS -> GenerationPlan.NoRoom
+            else -> GenerationPlan.Place(decode, prefill)
+        }
     }
 
     /** Returns a decode server for a prompt that has been read already, the fullest as a last resort, or null. */
@@ -111,6 +116,9 @@
         /** A failed attempt costs the time of another one. */
         const val FAILURE_COST = 4.0
 
+        /** A prompt that a decode server reads itself delays the answers that it makes at the time. */
+        const val DECODE_READ_COST_MS = 150.0
+
         /** Prompts in a prefill server beyond this would be read too late, and their caches fill its memory. */
         const val MAX_BACKLOG_TOKENS = 30_000L
     }
