--- a/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/ControlHub.kt
+++ b/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/ControlHub.kt
@@ -201,7 +201,10 @@
         }
 
     private fun forgetEnded(now: Long) {
-        val old = table.all.filter { (it.silent || it.state == BackendState.GONE) && now - (heardMs[it.id] ?: 0) > KEEP_MS }
+        val old = table.all.filter {
+            (it.silent || it.state == BackendState.GONE) &&
+                now - (heardMs[it.id] ?: 0) > KEEP_MS
+        }
         old.forEach {
             table.remove(it.id)
             heardMs.remove(it.id)
--- a/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/ControlRoster.kt
+++ b/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/ControlRoster.kt
@@ -30,7 +30,9 @@
         if (before == null || entry.isLost) log.write(FleetEvent.ControlHeard(vm, before?.let { nowMs - it }))
         entry.heardMs = nowMs
         entry.isLost = false
-        others.filter { it != self }.forEach { other -> known.getOrPut(other) { Known(null, nowMs) }.mentionedMs = nowMs }
+        others.filter { it != self }.forEach { other ->
+            known.getOrPut(other) { Known(null, nowMs) }.mentionedMs = nowMs
+        }
     }
 
     /** Drops VMs that nobody has heard of for long. */
--- a/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/StageBalance.kt
+++ b/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/StageBalance.kt
@@ -24,9 +24,13 @@
  * @param switchMs time in milliseconds for which an engine serves nothing while it changes.
  */
 public class StageBalance(private val switchMs: Long) {
-    private class Use(var value: Double? = null) {
-        fun add(sample: Double) {
-            value = value?.let { it + GAIN * (sample - it) } ?: sample
+    private class Use {
+        private var mean: Double? = null
+
+        fun add(sample: Double): Double {
+            val next = mean?.let { it + GAIN * (sample - it) } ?: sample
+            mean = next
+            return next
         }
     }
 
@@ -42,13 +46,16 @@
         val (prefills, decodes) = ready.partition { it.row.kind == ServerKind.PREFILL }
         if (engines.any { it.row.id == changing && it.row.kind != changingFrom }) changing = null
         if (decodes.isEmpty()) return null
-        decodeUse.add(decodes.sumOf { it.load.memoryTokens.toDouble() / it.memoryTokens } / decodes.size)
-        prefillUse.add(if (prefills.isEmpty()) 0.0 else prefills.count { it.load.promptTokens > 0 }.toDouble() / prefills.size)
+        val decode = decodeUse.add(decodes.sumOf { it.load.memoryTokens.toDouble() / it.memoryTokens } / decodes.size)
+        val reading = prefills.count { it.load.promptTokens > 0 }.toDouble()
+        val prefill = prefillUse.add(reading / prefills.size.coerceAtLeast(1))
         val pauseMs = PAUSES * switchMs
         val isIdle = ready.all { it.load.memoryTokens == 0L && it.load.promptTokens == 0L }
         val paceMs = if (isIdle) IDLE_PAUSE_MS else pauseMs
         if (changedMs?.let { nowMs - it < paceMs } == true) return null
-        val change = toRest(prefills, ready.size) ?: toDecode(prefills) ?: toPrefill(prefills, decodes)
+        val change = toRest(prefills, ready.size, prefill)
+            ?: toDecode(prefills, decode, prefill)
+            ?: toPrefill(prefills, decodes, decode, prefill)
         return change?.also {
             changedMs = nowMs
             changing = it.server.id
@@ -57,18 +64,15 @@
     }
 
     /** A decode server can read prompts as well, a prefill server does nothing else, so few of them are kept. */
-    private fun toRest(prefills: List<EngineUse>, engines: Int): StageChange? {
+    private fun toRest(prefills: List<EngineUse>, engines: Int, busy: Double): StageChange? {
         val wanted = (engines + ENGINES_PER_PREFILL - 1) / ENGINES_PER_PREFILL
-        val busy = prefillUse.value ?: return null
         val after = busy * prefills.size / (prefills.size - 1).coerceAtLeast(1)
         if (prefills.size <= wanted || after > PREFILL_LIMIT) return null
         val chosen = prefills.minBy { it.load.promptTokens }
         return StageChange(chosen.row, ServerKind.DECODE, "${prefills.size} of $engines engines are for prefill")
     }
 
-    private fun toDecode(prefills: List<EngineUse>): StageChange? {
-        val decode = decodeUse.value ?: return null
-        val prefill = prefillUse.value ?: return null
+    private fun toDecode(prefills: List<EngineUse>, decode: Double, prefill: Double): StageChange? {
         if (prefills.size < 2 || decode < BUSY) return null
         val after = prefill * prefills.size / (prefills.size - 1)
         if (after > PREFILL_LIMIT) return null
@@ -76,9 +80,12 @@
         return StageChange(chosen.row, ServerKind.DECODE, describe(decode, prefill))
     }
 
-    private fun toPrefill(prefills: List<EngineUse>, decodes: List<EngineUse>): StageChange? {
-        val decode = decodeUse.value ?: return null
-        val prefill = prefillUse.value ?: return null
+    private fun toPrefill(
+        prefills: List<EngineUse>,
+        decodes: List<EngineUse>,
+        decode: Double,
+        prefill: Double,
+    ): StageChange? {
         val starved = prefills.isEmpty() || prefill > PREFILL_BUSY
         if (decodes.size < 2 || !starved) return null
         val after = decode * decodes.size / (decodes.size - 1)
--- a/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/StoreKeeper.kt
+++ b/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/StoreKeeper.kt
@@ -75,7 +75,9 @@
         submit(StoreCommand.PutDocument(NAME, document, 0), timeoutMs)
 
     /** Returns the version in force, confirmed by a majority. */
-    public suspend fun currentVersion(timeoutMs: Long): PutOutcome = submit(StoreCommand.ReadDocument(NAME, 0), timeoutMs)
+    public suspend fun currentVersion(
+        timeoutMs: Long,
+    ): PutOutcome = submit(StoreCommand.ReadDocument(NAME, 0), timeoutMs)
 
     private suspend fun submit(command: StoreCommand, timeoutMs: Long): PutOutcome {
         val open = current ?: return PutOutcome.Unclear("The data folder can't be used.")
--- a/gentiandale-fleet/src/test/kotlin/gentiandale/fleet/FleetNewsTest.kt
+++ b/gentiandale-fleet/src/test/kotlin/gentiandale/fleet/FleetNewsTest.kt
@@ -51,7 +51,9 @@
     private val queue = ArrayDeque<Triple<VmId, VmId, ByteArray>>()
     private val controls = List(4) { VmId("10.0.$it.1") }
     private val hubs = controls.associateWith { id ->
-        ControlHub(id, clock, sender(id), EventLog.NONE, silenceMs = 4_800).also { it.setSeeds(controls.take(3).toSet()) }
+        ControlHub(id, clock, sender(id), EventLog.NONE, silenceMs = 4_800).also {
+            it.setSeeds(controls.take(3).toSet())
+        }
     }
     private val entries = List(3) { i ->
         val id = VmId("10.9.$i.1")
@@ -157,8 +159,15 @@
     }
 
     private fun row(sequence: Long, state: BackendState = BackendState.READY) = BackendRow(
-        ID, Incarnation(1), sequence, ServiceName("e"), Address("10.0.0.9", 1), DataCentreId("a"), state,
-        ServerKind.DECODE, 128,
+        ID,
+        Incarnation(1),
+        sequence,
+        ServiceName("e"),
+        Address("10.0.0.9", 1),
+        DataCentreId("a"),
+        state,
+        ServerKind.DECODE,
+        128,
     )
 
     private companion object {
--- a/gentiandale-fleet/src/test/kotlin/gentiandale/fleet/StageBalanceTest.kt
+++ b/gentiandale-fleet/src/test/kotlin/gentiandale/fleet/StageBalanceTest.kt
@@ -86,8 +86,15 @@
 
     private fun engine(id: String, kind: ServerKind, load: ServerLoad) = EngineUse(
         BackendRow(
-            ServerId(id), Incarnation(1), 1, ServiceName("e"), Address("10.0.0.1", 1), DataCentreId("a"),
-            BackendState.READY, kind, 128,
+            ServerId(id),
+            Incarnation(1),
+            1,
+            ServiceName("e"),
+            Address("10.0.0.1", 1),
+            DataCentreId("a"),
+            BackendState.READY,
+            kind,
+            128,
         ),
         load,
         memoryTokens = 75_000,
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/Relay.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/Relay.kt
@@ -14,8 +14,8 @@
 import gentiandale.relay.caller.CallerRequest
 import gentiandale.relay.caller.CallerService
 import gentiandale.relay.life.Call
+import gentiandale.relay.life.Decisions
 import gentiandale.relay.life.GenerationLife
-import gentiandale.relay.life.GenerationLine
 import gentiandale.relay.life.PlainLife
 import gentiandale.relay.life.RelayContext
 import gentiandale.relay.life.endToEnd
@@ -62,21 +62,21 @@
     private val upstreams = Upstreams(transport, dialect, clock::monotonicMs, ::connectionShare)
     private val budgets = HashMap<ServiceName, RetryBudget>()
     private var isReportDue = false
-    private val line = GenerationLine(transport.loop, clock::monotonicMs)
     private val context = RelayContext(
         loop = transport.loop,
         nowMs = clock::monotonicMs,
         book = book,
         upstreams = upstreams,
         dialect = dialect,
-        plain = PlainPlacement(settings.dataCentre, random),
-        generations = GenerationPlacement(settings.dataCentre, random),
-        budgetOf = ::budgetOf,
-        random = random,
+        decisions = Decisions(
+            plain = PlainPlacement(settings.dataCentre, random),
+            generations = GenerationPlacement(settings.dataCentre, random),
+            answers = AnswerLengths(),
+            budgetOf = ::budgetOf,
+            random = random,
+        ),
         log = log,
         stats = stats,
-        line = line,
-        answers = AnswerLengths(),
         onLoadChanged = ::scheduleLoadReport,
     )
 
@@ -123,7 +123,7 @@
     /** Takes the load that the other VMs have placed on engines. */
     public fun onOtherLoad(loads: List<ServerLoad>) {
         loads.forEach { book[it.id]?.onOtherLoad(it) }
-        line.pump()
+        context.line.pump()
     }
 
     private fun scheduleLoadReport() {
@@ -138,7 +138,9 @@
     }
 
     /** Takes what is known of a server, and returns the rows that changed. */
-    public fun merge(row: BackendRow): List<BackendRow> = book.merge(row).also { if (it.isNotEmpty()) line.pump() }
+    public fun merge(
+        row: BackendRow,
+    ): List<BackendRow> = book.merge(row).also { if (it.isNotEmpty()) context.line.pump() }
 
     override fun serve(request: CallerRequest, reply: CallerReply): () -> Unit {
         val present = table ?: return refuse(request, reply, UNAVAILABLE, "no configuration yet")
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/RelayStats.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/RelayStats.kt
@@ -2,7 +2,7 @@
 
 /** Receives what the metrics count. */
 public interface RelayStats {
-    /** Notes the end of a request on [route] after [elapsedMs] milliseconds; [firstMs] is the time to its first byte. */
+    /** Notes the end of a request on [route], with the times in milliseconds to its end and to its first byte. */
     public fun onEnded(route: String, urgency: Int, outcome: String, elapsedMs: Long, firstMs: Long?)
 
     /** Notes a request that was refused before it had a route. */
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/backend/Backend.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/backend/Backend.kt
@@ -152,7 +152,7 @@
         const val FIRST_PAUSE_MS = 250L
         const val MAX_DOUBLINGS = 3
 
-        /** First pause after a full queue, about the time in which a place becomes free; each further one doubles it. */
+        /** First pause after a full queue, about the time until a place is free; each further one doubles it. */
         const val FULL_PAUSE_MS = 60L
     }
 }
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/caller/CallerConnection.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/caller/CallerConnection.kt
@@ -114,7 +114,11 @@
                 DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER),
             )
         }
-        if (HttpUtil.getContentLength(request, 0L) > limits.maxBodyBytes) refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE)
+        if (HttpUtil.getContentLength(request, 0L) >
+            limits.maxBodyBytes
+        ) {
+            refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE)
+        }
     }
 
     private fun append(part: HttpContent) {
@@ -222,7 +226,9 @@
             if (!isOld) headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED)
             keepsAlive = prepare(headers) && !isOld
             if (!keepsAlive) headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
-            channel.writeAndFlush(DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), headers))
+            channel.writeAndFlush(
+                DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), headers),
+            )
         }
 
         override fun part(content: ByteBuf) {
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/life/Call.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/life/Call.kt
@@ -14,7 +14,7 @@
  * @param version version of the routing table that decided.
  * @param endMs monotonic time in milliseconds at which the final answer is due.
  */
-internal class Call(
+internal data class Call(
     val request: CallerRequest,
     val reply: CallerReply,
     val headers: HttpHeaders,
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/life/GenerationLife.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/life/GenerationLife.kt
@@ -155,7 +155,7 @@
         gapTimer = context.loop.schedule({ onGap(send, delayMs, waitedMs + delayMs) }, delayMs, TimeUnit.MILLISECONDS)
     }
 
-    /** A server that sends events of other requests has put this one aside for a while, which is cheaper than a move. */
+    /** A server that sends other events has put this request aside for a while, which is cheaper than a move. */
     private fun onGap(send: Send, delayMs: Long, waitedMs: Long) {
         if (isOver || current !== send || attempts >= route.maxAttempts) return
         val quietMs = send.server.lastByteMs?.let { context.nowMs() - it } ?: Long.MAX_VALUE
@@ -295,8 +295,7 @@
         }
 
         private fun pass(event: StreamEvent) {
-            val known = lastNumber
-            if (isOver || (event.id != null && known != null && event.id <= known)) {
+            if (isOver || isKnown(event)) {
                 event.bytes.release()
                 return
             }
@@ -311,6 +310,12 @@
             current?.let { watch(it, EVENT_GAP_MS, 0) }
         }
 
+        /** A server that resumes a stream may begin with events that the caller has. */
+        private fun isKnown(event: StreamEvent): Boolean {
+            val id = event.id ?: return false
+            return lastNumber?.let { id <= it } ?: false
+        }
+
         private fun begin() {
             val answer = head ?: return
             if (begun) return
@@ -331,7 +336,15 @@
                 return finish("answered", answer.status().code())
             }
             val status = answer.status()
-            if (context.dialect.isNotExecuted(status.code(), answer.headers())) onRejected(status.code()) else onBad(answer)
+            if (context.dialect.isNotExecuted(
+                    status.code(),
+                    answer.headers(),
+                )
+            ) {
+                onRejected(status.code())
+            } else {
+                onBad(answer)
+            }
         }
 
         private fun onRejected(status: Int) {
@@ -354,12 +367,9 @@
             val status = answer.status()
             current?.failed("answer ${status.code()}")
             tried += server.row.id
-            val promises = status.code() in PROMISES && route.repetition == Repetition.AT_MOST_ONCE
-            val encoded = answer.headers().contains(HttpHeaderNames.CONTENT_ENCODING)
-            val isFailure = status.codeClass() != HttpStatusClass.SUCCESS
             when {
                 status.codeClass() != HttpStatusClass.CLIENT_ERROR && canRepeat() -> restart()
-                begun || promises || encoded || !isFailure -> fail("answer ${status.code()} of ${server.row.id}")
+                begun || !isPassable(answer) -> fail("answer ${status.code()} of ${server.row.id}")
                 else -> {
                     call.reply.answer(status.code(), answer.headers().endToEnd(), failureBody.retain())
                     finish("answered", status.code())
@@ -387,6 +397,14 @@
             }
         }
 
+        /** Whether a failure can be passed on as it is: one that promises too much can't. */
+        private fun isPassable(answer: HttpResponse): Boolean {
+            val status = answer.status()
+            val promises = status.code() in PROMISES && route.repetition == Repetition.AT_MOST_ONCE
+            val encoded = answer.headers().contains(HttpHeaderNames.CONTENT_ENCODING)
+            return status.codeClass() != HttpStatusClass.SUCCESS && !promises && !encoded
+        }
+
         private fun canRepeat() = mayRepeat() && context.budgetOf(call.service).left(context.nowMs()) > 0
 
         private fun isStream(answer: HttpResponse): Boolean =
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/life/GenerationLine.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/life/GenerationLine.kt
@@ -43,7 +43,12 @@
         isPumping = true
         val now = nowMs()
         val ordered = members.sortedWith { a, b -> order.comparator(now).compare(a.waiting, b.waiting) }
-        val begun = ordered.takeWhile { it !in members || it.tryBegin().also { begun -> if (begun) members -= it } }.size
+        val begun = ordered.takeWhile {
+            it !in members ||
+                it.tryBegin().also { begun ->
+                    if (begun) members -= it
+                }
+        }.size
         ordered.drop(begun).filter { it in members && order.isHopeless(it.waiting, now) }.forEach {
             members -= it
             it.giveBack("no room in time")
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/life/Headers.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/life/Headers.kt
@@ -4,8 +4,17 @@
 import io.netty.handler.codec.http.HttpHeaders
 
 private val HOP_BY_HOP = setOf(
-    "connection", "keep-alive", "proxy-connection", "proxy-authenticate", "proxy-authorization", "te", "trailer",
-    "transfer-encoding", "upgrade", "expect", "content-length",
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "expect",
+    "content-length",
 )
 
 /** Returns a copy without the headers that concern one connection only, and without the length of the body. */
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/life/PlainLife.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/life/PlainLife.kt
@@ -113,10 +113,9 @@
             attempt?.failed("answer $status")
             tried += server.row.id
             val answer = head
-            val passable = answer != null && isPassable(answer)
             val kept = body
             repeatOr {
-                if (passable && answer != null) {
+                if (answer != null && isPassable(answer)) {
                     call.reply.answer(status, answer.headers().endToEnd(), kept.retain())
                     finish("answered", status)
                 } else {
@@ -129,7 +128,8 @@
         private fun repeatOr(otherwise: () -> Unit) {
             val another = context.candidates(call.service).any { it.row.id !in tried }
             val budget = context.budgetOf(call.service).left(context.nowMs()) > 0
-            if (mayRepeat() && another && budget && leftMs() > MIN_LEFT_MS) proceed() else otherwise()
+            val useful = another && budget && leftMs() > MIN_LEFT_MS
+            if (useful && mayRepeat()) proceed() else otherwise()
         }
 
         /** Whether the answer ends the request: a success, or a failure that no other server would mend. */
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/life/RequestLife.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/life/RequestLife.kt
@@ -73,7 +73,13 @@
     private fun onEndOfTime() {
         if (isOver) return
         val reason = lastReason ?: "no answer in time"
-        if (call.reply.isOpen && !hasBegun()) answerOwn(GATEWAY_TIMEOUT, "timed-out", reason) else cut("timed-out: $reason")
+        if (call.reply.isOpen &&
+            !hasBegun()
+        ) {
+            answerOwn(GATEWAY_TIMEOUT, "timed-out", reason)
+        } else {
+            cut("timed-out: $reason")
+        }
     }
 
     /** Whether a part of the answer has left. */
@@ -84,7 +90,10 @@
         if (runState != RunState.NOT_RUN) return fail(reason)
         val headers = DefaultHttpHeaders()
         val jitter = context.random.nextLong(retryAfterMs / 2 + 1)
-        headers.set(HttpHeaderNames.RETRY_AFTER, "%.3f".format(java.util.Locale.ROOT, (retryAfterMs + jitter) / MS_PER_S))
+        headers.set(
+            HttpHeaderNames.RETRY_AFTER,
+            "%.3f".format(java.util.Locale.ROOT, (retryAfterMs + jitter) / MS_PER_S),
+        )
         isOver = true
         call.reply.answer(UNAVAILABLE, headers, Unpooled.EMPTY_BUFFER)
         close("refused", UNAVAILABLE, reason)
@@ -164,7 +173,15 @@
         val passedOver = tried.joinToString(",") { it.value }.ifEmpty { null }
         context.log.write(
             RelayEvent.Placed(
-                call.id, route.name, call.version, step, server.ownLoad, server.othersLoad, attempts, passedOver, leftMs(),
+                call.id,
+                route.name,
+                call.version,
+                step,
+                server.ownLoad,
+                server.othersLoad,
+                attempts,
+                passedOver,
+                leftMs(),
             ),
         )
         server.running++
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/placement/PlainPlacement.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/placement/PlainPlacement.kt
@@ -25,7 +25,8 @@
         val stuck = if (stuckMs > STUCK_FACTOR * backend.latencyMs + STUCK_MS) STUCK_COST else 1.0
         val way = if (backend.row.dataCentre == home) 1.0 else REMOTE_COST
         val noise = 1 + JITTER * random.nextDouble()
-        return (backend.running + 1) * backend.latencyMs * (1 + FAILURE_COST * backend.failureShare) * stuck * way * noise
+        return (backend.running + 1) * backend.latencyMs * (1 + FAILURE_COST * backend.failureShare) * stuck * way *
+            noise
     }
 
     private companion object {
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/upstream/DirectCall.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/upstream/DirectCall.kt
@@ -17,7 +17,7 @@
 
 /** Calls of this system itself, each over a connection of its own. */
 public class DirectCall(private val transport: Transport) {
-    /** Sends [request] to [address]; [done] gets the answer on the event loop, after [timeoutMs] milliseconds at most. */
+    /** Sends [request] to [address]; [done] gets the answer on the event loop within [timeoutMs] milliseconds. */
     public fun send(address: Address, request: FullHttpRequest, timeoutMs: Long, done: (DirectAnswer) -> Unit) {
         val handler = Handler(done)
         val bootstrap = transport.client(CONNECT_TIMEOUT_MS).handler(object : ChannelInitializer<SocketChannel>() {
--- a/gentiandale-state/src/main/kotlin/gentiandale/state/StoreClient.kt
+++ b/gentiandale-state/src/main/kotlin/gentiandale/state/StoreClient.kt
@@ -17,8 +17,8 @@
 }
 
 /**
- * Finds the leader among the VMs that [voters] gives and submits to it. A request with an effect is sent only to a VM that has just said
- * that it leads, so that a VM that reaches no voter knows that nothing was accepted.
+ * Finds the leader among the VMs that [voters] gives and submits to it. A request with an effect is sent only to a VM
+ * that has just said that it leads, so that a VM that reaches no voter knows that nothing was accepted.
  */
 internal class StoreClient(
     private val voters: () -> Collection<VmId>,
--- a/gentiandale-state/src/main/kotlin/gentiandale/state/StoreCommand.kt
+++ b/gentiandale-state/src/main/kotlin/gentiandale/state/StoreCommand.kt
@@ -93,7 +93,10 @@
  */
 @OptIn(ExperimentalSerializationApi::class)
 @Serializable
-public class Document(public val version: Long, @ByteString public val content: ByteArray)
+public class Document(
+    public val version: Long,
+    @ByteString public val content: ByteArray,
+)
 
 /** Returns this command with the time [atMs]. */
 internal fun StoreCommand.at(atMs: Long): StoreCommand = when (this) {
--- a/gentiandale-wire/src/main/kotlin/gentiandale/wire/PeerNode.kt
+++ b/gentiandale-wire/src/main/kotlin/gentiandale/wire/PeerNode.kt
@@ -125,12 +125,10 @@
         try {
             while (true) {
                 val envelope = readFrame(input) ?: break
-                if (envelope.channel == Channel.LINK) {
-                    output.writeByte(PONG)
-                    continue
+                when {
+                    envelope.channel == Channel.LINK -> output.writeByte(PONG)
+                    filter.passes(envelope.from, self, envelope.channel) -> dispatch(envelope)
                 }
-                if (!filter.passes(envelope.from, self, envelope.channel)) continue
-                dispatch(envelope)
             }
         } catch (e: CancellationException) {
             throw e
