--- /dev/null
+++ b/gentiandale-relay/src/test/kotlin/gentiandale/relay/FakeServer.kt
@@ -0,0 +1,77 @@
+package gentiandale.relay
+
+import java.io.BufferedInputStream
+import java.io.InputStream
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.net.Socket
+import java.util.concurrent.CopyOnWriteArrayList
+import kotlin.concurrent.thread
+
+/** A request as the bytes of it were read: its head as text and its body. */
+internal class RawRequest(val head: String, val body: String) {
+    val target: String get() = head.lineSequence().first().split(' ')[1]
+
+    fun header(name: String): String? = head.lineSequence().drop(1)
+        .firstOrNull { it.startsWith("$name:", ignoreCase = true) }?.substringAfter(':')?.trim()
+}
+
+/** A server on a raw socket. [answer] writes what it likes; it returns false to close the connection. */
+internal class FakeServer(private val answer: (RawRequest, Socket) -> Boolean) : AutoCloseable {
+    private val listening = ServerSocket(0, BACKLOG, InetAddress.getByName("127.0.0.1"))
+    val requests = CopyOnWriteArrayList<RawRequest>()
+    val port: Int get() = listening.localPort
+
+    init {
+        thread(isDaemon = true) {
+            while (!listening.isClosed) {
+                val socket = runCatching { listening.accept() }.getOrNull() ?: break
+                thread(isDaemon = true) { runCatching { serve(socket) } }
+            }
+        }
+    }
+
+    override fun close() = listening.close()
+
+    private fun serve(socket: Socket) = socket.use {
+        val input = BufferedInputStream(socket.getInputStream())
+        while (true) {
+            val request = readRequest(input) ?: break
+            requests += request
+            if (!answer(request, socket)) break
+        }
+    }
+
+    companion object {
+        private const val BACKLOG = 50
+
+        /** Writes a whole answer that repeats the id of [request]. */
+        fun reply(
+            socket: Socket,
+            request: RawRequest,
+            body: String,
+            status: String = "200 OK",
+            extra: String = "",
+        ): Boolean {
+            val head = "HTTP/1.1 $status\r\nid: ${request.header("id")}\r\nsigned: 1\r\n$extra"
+            socket.getOutputStream().write("${head}content-length: ${body.length}\r\n\r\n$body".toByteArray())
+            return true
+        }
+
+        fun readRequest(input: InputStream): RawRequest? {
+            val head = readHead(input) ?: return null
+            val length = Regex("(?i)content-length: (\\d+)").find(head)?.groupValues?.get(1)?.toInt() ?: 0
+            return RawRequest(head, String(input.readNBytes(length)))
+        }
+
+        fun readHead(input: InputStream): String? {
+            val head = StringBuilder()
+            while (!head.endsWith("\r\n\r\n")) {
+                val next = input.read()
+                if (next < 0) return null
+                head.append(next.toChar())
+            }
+            return head.toString()
+        }
+    }
+}
--- /dev/null
+++ b/gentiandale-relay/src/test/kotlin/gentiandale/relay/PlainRelayTest.kt
@@ -0,0 +1,255 @@
+package gentiandale.relay
+
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Nested
+import java.net.Socket
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertNull
+import kotlin.test.assertTrue
+
+class PlainRelayTest {
+    private val relay = RelayFixture()
+
+    @AfterEach
+    fun close() = relay.close()
+
+    @Nested
+    inner class WholeAnswers {
+        @Test
+        fun `method, target, headers and body pass unchanged, reserved headers do not`() {
+            val server = relay.server("a") { request, socket -> FakeServer.reply(socket, request, "done") }
+            val answer = relay.exchange(
+                "POST /once/x%20y?q=a+b HTTP/1.1\r\nHost: h\r\nid: r7\r\nX-Other: 1\r\nstage: forged\r\n" +
+                    "connection: close\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n",
+            )
+            assertTrue(answer.startsWith("HTTP/1.1 200 OK\r\n") && answer.endsWith("\r\n\r\ndone"), answer)
+            val seen = server.requests.single()
+            assertEquals("/once/x%20y?q=a+b", seen.target)
+            assertEquals("abcde", seen.body)
+            assertEquals("1", seen.header("X-Other"))
+            assertEquals("a", seen.header("server"))
+            assertNull(seen.header("stage"))
+        }
+
+        @Test
+        fun `requests on one connection are answered in order`() {
+            relay.server("a") { request, socket -> FakeServer.reply(socket, request, request.target) }
+            val one = "GET /safe/1 HTTP/1.1\r\nhost: h\r\nid: r1\r\n\r\n"
+            val two = "GET /safe/2 HTTP/1.1\r\nhost: h\r\nid: r2\r\nconnection: close\r\n\r\n"
+            val answer = relay.exchange(one + two)
+            assertEquals(listOf("/safe/1", "/safe/2"), Regex("/safe/\\d").findAll(answer).map { it.value }.toList())
+        }
+
+        @Test
+        fun `an answer without length ends with its connection`() {
+            relay.server("a") { request, socket ->
+                socket.getOutputStream().write(
+                    "HTTP/1.1 200 OK\r\nid: ${request.header("id")}\r\nsigned: 1\r\n\r\nall".toByteArray(),
+                )
+                false
+            }
+            assertTrue(relay.get("/safe/1").endsWith("\r\n\r\nall"))
+        }
+    }
+
+    @Nested
+    inner class BadAnswers {
+        @Test
+        fun `a success without signature is no answer`() {
+            relay.server("a") { request, socket -> unsigned(socket, request) }
+            assertTrue(relay.get("/once/1").startsWith("HTTP/1.1 502"))
+        }
+
+        @Test
+        fun `an answer to another request is dropped and the own one awaited`() {
+            relay.server("a") { request, socket ->
+                socket.getOutputStream()
+                    .write("HTTP/1.1 200 OK\r\nid: other\r\nsigned: 1\r\ncontent-length: 5\r\n\r\nwrong".toByteArray())
+                FakeServer.reply(socket, request, "right")
+            }
+            val answer = relay.get("/once/1")
+            assertTrue(answer.endsWith("right") && "wrong" !in answer, answer)
+        }
+
+        @Test
+        fun `a surplus answer is not taken for the next request`() {
+            relay.server("a") { request, socket ->
+                FakeServer.reply(socket, request, request.target)
+                FakeServer.reply(socket, request, "surplus")
+            }
+            val answers = (1..5).map { relay.get("/safe/$it") }
+            assertEquals((1..5).map { "/safe/$it" }, answers.map { it.substringAfter("\r\n\r\n") })
+        }
+
+        @Test
+        fun `a truncated answer of a request that may not be repeated ends as a failure`() {
+            val server = relay.server("a") { request, socket -> truncated(socket, request) }
+            relay.server("b") { request, socket -> truncated(socket, request) }
+            assertTrue(relay.get("/once/1").startsWith("HTTP/1.1 502"))
+            assertTrue(server.requests.size <= 1)
+        }
+
+        @Test
+        fun `a truncated answer of an idempotent request is repeated elsewhere`() {
+            relay.server("a") { request, socket -> truncated(socket, request) }
+            relay.server("b") { request, socket -> FakeServer.reply(socket, request, "whole") }
+            repeat(6) { assertTrue(relay.get("/safe/1").endsWith("whole")) }
+        }
+
+        @Test
+        fun `an encoded answer and garbage are no answers`() {
+            var count = 0
+            relay.server("a") { request, socket ->
+                if (count++ == 0) {
+                    FakeServer.reply(socket, request, "zipped", extra = "content-encoding: gzip\r\n")
+                } else {
+                    socket.getOutputStream().write("\u0000garbage\r\n\r\n".toByteArray())
+                    false
+                }
+            }
+            assertTrue(relay.get("/once/1").startsWith("HTTP/1.1 502"))
+            assertTrue(relay.get("/once/1").startsWith("HTTP/1.1 502"))
+        }
+
+        private fun unsigned(socket: Socket, request: RawRequest): Boolean {
+            val head = "HTTP/1.1 200 OK\r\nid: ${request.header("id")}\r\ncontent-length: 2\r\n\r\nok"
+            socket.getOutputStream().write(head.toByteArray())
+            return true
+        }
+
+        private fun truncated(socket: Socket, request: RawRequest): Boolean {
+            val head = "HTTP/1.1 200 OK\r\nid: ${request.header("id")}\r\nsigned: 1\r\ncontent-length: 9\r\n\r\npart"
+            socket.getOutputStream().write(head.toByteArray())
+            return false
+        }
+    }
+
+    @Nested
+    inner class Refusals {
+        @Test
+        fun `a request that a server did not run goes to another one`() {
+            relay.server("a") { request, socket -> rejected(socket, request) }
+            relay.server("b") { request, socket -> FakeServer.reply(socket, request, "ran") }
+            repeat(6) { assertTrue(relay.get("/once/1").endsWith("ran")) }
+        }
+
+        @Test
+        fun `a request that no server ran is refused with the time to come back`() {
+            relay.server("a") { request, socket -> rejected(socket, request) }
+            val answer = relay.get("/once/1")
+            assertTrue(answer.startsWith("HTTP/1.1 503") && "retry-after: 0." in answer, answer)
+        }
+
+        @Test
+        fun `a refusal without the statement that nothing ran is not passed on`() {
+            relay.server("a") { request, socket -> FakeServer.reply(socket, request, "", status = "503 Busy") }
+            assertTrue(relay.get("/once/1").startsWith("HTTP/1.1 502"))
+        }
+
+        @Test
+        fun `without a server the request is refused at once`() {
+            val startMs = System.nanoTime()
+            assertTrue(relay.get("/once/1").startsWith("HTTP/1.1 503"))
+            assertTrue(System.nanoTime() - startMs < 1_000_000_000)
+        }
+
+        @Test
+        fun `an unknown route is not found`() {
+            assertTrue(relay.get("/nowhere/1").startsWith("HTTP/1.1 404"))
+        }
+
+        @Test
+        fun `a server that can't be reached costs no attempt`() {
+            relay.server("a") { _, _ -> false }.close()
+            relay.server("b") { request, socket -> FakeServer.reply(socket, request, "ran") }
+            repeat(6) { assertTrue(relay.get("/once/1").endsWith("ran")) }
+        }
+
+        private fun rejected(socket: Socket, request: RawRequest) =
+            FakeServer.reply(socket, request, "", status = "503 Full", extra = "not-executed: 1\r\n")
+    }
+
+    @Nested
+    inner class Time {
+        @Test
+        fun `the final answer comes when the time of the route is over`() {
+            relay.server("a") { _, _ -> true }
+            val startMs = System.nanoTime()
+            assertTrue(relay.get("/short/1").startsWith("HTTP/1.1 504"))
+            assertTrue(System.nanoTime() - startMs in 180_000_000..900_000_000)
+        }
+
+        @Test
+        fun `the server is told what is left of the caller's time`() {
+            val server = relay.server("a") { request, socket -> FakeServer.reply(socket, request, "") }
+            relay.get("/safe/1", "deadline: 700\r\n")
+            assertTrue(server.requests.single().header("deadline")!!.toLong() in 1..700)
+        }
+
+        @Test
+        fun `a caller that leaves ends the work of the server`() {
+            val closed = java.util.concurrent.CountDownLatch(1)
+            relay.server("a") { _, socket ->
+                if (socket.getInputStream().read() < 0) closed.countDown()
+                false
+            }
+            relay.connect().use {
+                it.getOutputStream().write("GET /once/1 HTTP/1.1\r\nhost: h\r\nid: r1\r\n\r\n".toByteArray())
+                Thread.sleep(100)
+            }
+            assertTrue(closed.await(1, java.util.concurrent.TimeUnit.SECONDS))
+        }
+    }
+
+    @Nested
+    inner class BadRequests {
+        @Test
+        fun `what can be read in two ways is refused and reaches no server`() {
+            val server = relay.server("a") { request, socket -> FakeServer.reply(socket, request, "") }
+            val start = "POST /once/1 HTTP/1.1\r\nhost: h\r\nid: r1\r\n"
+            val cases = mapOf(
+                "two lengths" to "${start}content-length: 3\r\ncontent-length: 4\r\n\r\nabcd",
+                "length and chunks" to "${start}content-length: 3\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n",
+                "another coding" to "${start}transfer-encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+                "bad chunk size" to "${start}transfer-encoding: chunked\r\n\r\nzz\r\nabc\r\n0\r\n\r\n",
+                "negative length" to "${start}content-length: -1\r\n\r\n",
+                "chunks before 1.1" to "POST /once/1 HTTP/1.0\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n",
+                "space in a name" to "POST /once/1 HTTP/1.1\r\nhost : h\r\n\r\n",
+            )
+            cases.forEach { (what, bytes) ->
+                val answer = relay.exchange(bytes)
+                assertTrue(answer.startsWith("HTTP/1.1 400"), "$what: $answer")
+            }
+            assertEquals(0, server.requests.size)
+        }
+
+        @Test
+        fun `too large heads and bodies are refused`() {
+            assertTrue(relay.get("/safe/1", "x: ${"y".repeat(20_000)}\r\n").startsWith("HTTP/1.1 431"))
+            val large = "POST /once/1 HTTP/1.1\r\nhost: h\r\nid: r1\r\ncontent-length: 5000000\r\n\r\n"
+            assertTrue(relay.exchange(large).startsWith("HTTP/1.1 413"))
+        }
+
+        @Test
+        fun `a half sent request reaches no server and does not stay`() {
+            RelayFixture(gentiandale.relay.routing.CallerLimits(headerTimeoutMs = 200)).use { quick ->
+                val server = quick.server("a") { request, socket -> FakeServer.reply(socket, request, "") }
+                assertEquals("", quick.exchange("GET /safe/1 HTTP/1.1\r\nhost: h\r\n"))
+                assertEquals(0, server.requests.size)
+            }
+        }
+
+        @Test
+        fun `a caller may wait to be asked for its body`() {
+            relay.server("a") { request, socket -> FakeServer.reply(socket, request, request.body) }
+            relay.connect().use { socket ->
+                val head = "POST /once/1 HTTP/1.1\r\nhost: h\r\nid: r1\r\nexpect: 100-continue\r\ncontent-length: 2\r\n\r\n"
+                socket.getOutputStream().write(head.toByteArray())
+                assertTrue(FakeServer.readHead(socket.getInputStream())!!.startsWith("HTTP/1.1 100"))
+                socket.getOutputStream().write("ok".toByteArray())
+                assertTrue(FakeServer.readHead(socket.getInputStream())!!.startsWith("HTTP/1.1 200"))
+            }
+        }
+    }
+}
--- /dev/null
+++ b/gentiandale-relay/src/test/kotlin/gentiandale/relay/RelayFixture.kt
@@ -0,0 +1,90 @@
+package gentiandale.relay
+
+import gentiandale.core.Address
+import gentiandale.core.ServerKind
+import gentiandale.core.SystemClock
+import gentiandale.core.log.EventLog
+import gentiandale.relay.caller.CallerServer
+import gentiandale.relay.routing.CallerLimits
+import gentiandale.relay.routing.EngineRule
+import gentiandale.relay.routing.Repetition
+import gentiandale.relay.routing.RouteRule
+import gentiandale.relay.routing.RoutingTable
+import gentiandale.relay.routing.ServiceRule
+import gentiandale.relay.routing.TrafficShare
+import gentiandale.relay.upstream.Transport
+import java.net.Socket
+
+/** A relay on loopback with its own event loop. */
+internal class RelayFixture(limits: CallerLimits = CallerLimits()) : AutoCloseable {
+    private val transport = Transport()
+    private val relay = Relay(RelaySettings(HOME, 1.0, 100, 10_000), transport, TestDialect, SystemClock, EventLog.NONE)
+    private val server = CallerServer(transport, SystemClock::monotonicMs, { limits }, relay, EventLog.NONE)
+    private val servers = ArrayList<FakeServer>()
+    val port: Int
+
+    init {
+        relay.entryVms = 1
+        val routes = listOf(
+            route("/safe/", Repetition.IDEMPOTENT, attempts = 2),
+            route("/once/", Repetition.AT_MOST_ONCE, attempts = 2),
+            route("/short/", Repetition.IDEMPOTENT, attempts = 1, timeoutMs = 200),
+            route("/stream/", Repetition.RESUMABLE, attempts = 2, stream = true),
+            route("/stream-once/", Repetition.AT_MOST_ONCE, attempts = 1, stream = true),
+        )
+        val engine = EngineRule(places = 8, memoryTokens = 10_000, tokenBytes = 1, handleLifetimeMs = 500)
+        relay.use(RoutingTable(1, routes, listOf(ServiceRule(SERVICE, 100, engine)), limits))
+        port = server.listen(Address("127.0.0.1", 0))
+    }
+
+    /** Adds a server of [kind] that answers as [answer] says. */
+    fun server(id: String, kind: ServerKind = ServerKind.PLAIN, answer: (RawRequest, Socket) -> Boolean): FakeServer {
+        val fake = FakeServer(answer)
+        servers += fake
+        transport.loop.submit { relay.merge(rowOf(id, kind, fake.port)) }.get()
+        return fake
+    }
+
+    /** Opens a connection of a caller. */
+    fun connect() = Socket("127.0.0.1", port).also { it.soTimeout = SOCKET_TIMEOUT_MS }
+
+    /** Sends [bytes] on a connection of its own and returns all that comes until it is closed. */
+    fun exchange(bytes: String): String = connect().use { socket ->
+        socket.getOutputStream().write(bytes.toByteArray())
+        String(socket.getInputStream().readAllBytes())
+    }
+
+    /** Sends one request and returns the whole answer. */
+    fun get(target: String, extra: String = ""): String =
+        exchange("GET $target HTTP/1.1\r\nhost: h\r\nid: r1\r\nconnection: close\r\n$extra\r\n")
+
+    override fun close() {
+        servers.forEach { it.close() }
+        server.close()
+        transport.close()
+    }
+
+    private fun route(
+        prefix: String,
+        repetition: Repetition,
+        attempts: Int,
+        stream: Boolean = false,
+        timeoutMs: Long = 5_000,
+    ) = RouteRule(
+        name = prefix,
+        host = "h",
+        prefix = prefix,
+        repetition = repetition,
+        stream = stream,
+        timeoutMs = timeoutMs,
+        targetMs = 1_000,
+        urgency = 0,
+        shares = listOf(TrafficShare(SERVICE, 1)),
+        maxAttempts = attempts,
+        maxGapMs = 300,
+    )
+
+    private companion object {
+        const val SOCKET_TIMEOUT_MS = 10_000
+    }
+}
--- /dev/null
+++ b/gentiandale-relay/src/test/kotlin/gentiandale/relay/StreamRelayTest.kt
@@ -0,0 +1,127 @@
+package gentiandale.relay
+
+import gentiandale.core.ServerKind
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Nested
+import java.net.Socket
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertNull
+import kotlin.test.assertTrue
+
+class StreamRelayTest {
+    private val relay = RelayFixture()
+
+    @AfterEach
+    fun close() = relay.close()
+
+    @Nested
+    inner class HandOver {
+        @Test
+        fun `a prefill server reads the prompt and a decode server streams from its cache`() {
+            val prefill = relay.server("p", ServerKind.PREFILL) { request, socket ->
+                FakeServer.reply(socket, request, "h42")
+            }
+            val decode = relay.server("d", ServerKind.DECODE) { request, socket -> stream(request, socket, 1..3) }
+            val answer = relay.get("/stream/1")
+            assertEquals(listOf("1", "2", "3"), events(answer))
+            assertEquals("prefill", prefill.requests.single().header("stage"))
+            assertEquals("127.0.0.1:${prefill.port}/h42", decode.requests.single().header("cache"))
+            assertNull(decode.requests.single().header("stage"))
+        }
+
+        @Test
+        fun `a decode server whose cache has lapsed reads the prompt itself`() {
+            relay.server("p", ServerKind.PREFILL) { request, socket -> FakeServer.reply(socket, request, "h42") }
+            val decode = relay.server("d", ServerKind.DECODE) { request, socket ->
+                if (request.header("cache") != null) gone(socket, request) else stream(request, socket, 1..2)
+            }
+            assertEquals(listOf("1", "2"), events(relay.get("/stream/1")))
+            assertEquals(2, decode.requests.size)
+        }
+
+        @Test
+        fun `a prefill server that fails is replaced by the decode server`() {
+            relay.server("p", ServerKind.PREFILL) { _, _ -> false }
+            relay.server("d", ServerKind.DECODE) { request, socket -> stream(request, socket, 1..2) }
+            assertEquals(listOf("1", "2"), events(relay.get("/stream/1")))
+        }
+
+        @Test
+        fun `a cache that nobody takes any more is freed`() {
+            val freed = java.util.concurrent.CountDownLatch(1)
+            relay.server("p", ServerKind.PREFILL) { request, socket ->
+                if (request.target.startsWith("/cache/")) freed.countDown()
+                FakeServer.reply(socket, request, "h42")
+            }
+            relay.server("d", ServerKind.DECODE) { _, _ -> true }.close()
+            relay.get("/stream/1")
+            assertTrue(freed.await(2, java.util.concurrent.TimeUnit.SECONDS))
+        }
+    }
+
+    @Nested
+    inner class BrokenStreams {
+        @Test
+        fun `a stream goes on at another server after the last whole event`() {
+            val servers = listOf("d1", "d2").map { id ->
+                relay.server(id, ServerKind.DECODE) { request, socket ->
+                    val after = request.header("after")?.toInt()
+                    if (after == null) breakOff(request, socket) else stream(request, socket, after + 1..4)
+                }
+            }
+            val answer = relay.get("/stream/1")
+            assertEquals(listOf("1", "2", "3", "4"), events(answer))
+            assertTrue(answer.endsWith("0\r\n\r\n"))
+            assertEquals(listOf("2"), servers.flatMap { it.requests }.mapNotNull { it.header("after") })
+        }
+
+        @Test
+        fun `events that the caller has are not sent again`() {
+            listOf("d1", "d2").forEach { id ->
+                relay.server(id, ServerKind.DECODE) { request, socket ->
+                    if (request.header("after") == null) breakOff(request, socket) else stream(request, socket, 1..4)
+                }
+            }
+            assertEquals(listOf("1", "2", "3", "4"), events(relay.get("/stream/1")))
+        }
+
+        @Test
+        fun `a stream that can't go on ends as a visible break`() {
+            relay.server("d1", ServerKind.DECODE) { request, socket -> breakOff(request, socket) }
+            val answer = relay.get("/stream-once/1")
+            assertEquals(listOf("1", "2"), events(answer))
+            assertFalse(answer.endsWith("0\r\n\r\n"))
+        }
+
+        /** Two whole events and a part of the third. */
+        private fun breakOff(request: RawRequest, socket: Socket): Boolean {
+            head(request, socket)
+            chunk(socket, event(1) + event(2) + "id: 3\nda")
+            return false
+        }
+    }
+
+    private fun stream(request: RawRequest, socket: Socket, ids: IntRange): Boolean {
+        head(request, socket)
+        ids.forEach { chunk(socket, event(it)) }
+        socket.getOutputStream().write("0\r\n\r\n".toByteArray())
+        return true
+    }
+
+    private fun head(request: RawRequest, socket: Socket) {
+        val head = "HTTP/1.1 200 OK\r\nid: ${request.header("id")}\r\nsigned: 1\r\ntransfer-encoding: chunked\r\n\r\n"
+        socket.getOutputStream().write(head.toByteArray())
+    }
+
+    private fun chunk(socket: Socket, text: String) =
+        socket.getOutputStream().write("${text.length.toString(16)}\r\n$text\r\n".toByteArray())
+
+    private fun event(id: Int) = "id: $id\ndata: x$id\n\n"
+
+    private fun gone(socket: Socket, request: RawRequest) =
+        FakeServer.reply(socket, request, "", status = "503 Gone", extra = "not-executed: 1\r\n")
+
+    private fun events(answer: String) = Regex("data: x(\\d+)\n\n").findAll(answer).map { it.groupValues[1] }.toList()
+}
--- /dev/null
+++ b/gentiandale-relay/src/test/kotlin/gentiandale/relay/TestDialect.kt
@@ -0,0 +1,52 @@
+package gentiandale.relay
+
+import gentiandale.core.Address
+import gentiandale.core.ServerId
+import gentiandale.relay.upstream.Dialect
+import gentiandale.relay.upstream.GenerationSize
+import io.netty.buffer.ByteBuf
+import io.netty.handler.codec.http.DefaultFullHttpRequest
+import io.netty.handler.codec.http.FullHttpRequest
+import io.netty.handler.codec.http.HttpHeaders
+import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpVersion
+
+/** Plain header names, for tests of the relay without the platform. */
+internal object TestDialect : Dialect {
+    override fun requestId(headers: HttpHeaders): String? = headers.get("id")
+
+    override fun deadlineMs(headers: HttpHeaders): Long? = headers.get("deadline")?.toLong()
+
+    override fun size(headers: HttpHeaders): GenerationSize = GenerationSize(prompt = 100, answer = 20, expected = 10)
+
+    override fun lastEventId(headers: HttpHeaders): String? = headers.get("after")
+
+    override fun removeReserved(headers: HttpHeaders) {
+        listOf("server", "stage", "cache").forEach(headers::remove)
+    }
+
+    override fun address(headers: HttpHeaders, leftMs: Long, server: ServerId, urgency: Int?) {
+        headers.set("deadline", leftMs).set("server", server.value)
+    }
+
+    override fun askPrefill(headers: HttpHeaders) {
+        headers.set("stage", "prefill")
+    }
+
+    override fun offerCache(headers: HttpHeaders, source: Address, handle: String) {
+        headers.set("cache", "$source/$handle")
+    }
+
+    override fun resumeAfter(headers: HttpHeaders, id: String) {
+        headers.set("after", id)
+    }
+
+    override fun isNotExecuted(status: Int, headers: HttpHeaders): Boolean = headers.contains("not-executed")
+
+    override fun isSigned(headers: HttpHeaders): Boolean = headers.contains("signed")
+
+    override fun prefillHandle(body: ByteBuf): String? = body.toString(Charsets.UTF_8).takeIf { it.startsWith("h") }
+
+    override fun releaseCache(handle: String): FullHttpRequest =
+        DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.DELETE, "/cache/$handle")
+}
