Wait longer for prompts, share what does not answer, and keep room for work in time

Ruled out: overbooked memory alone; the reserved sums stayed within the engines' memory. After: not measured yet.

--- a/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/ControlHub.kt
+++ b/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/ControlHub.kt
@@ -38,6 +38,7 @@
     private val entries = HashMap<VmId, Entry>()
     private val controls = HashMap<VmId, Entry>()
     private val board = LoadBoard()
+    private val suspects = SuspectBoard()
     private var isBoardChanged = false
     private var toldLoads = emptyList<ServerLoad>()
     private var toldLoadsMs = Long.MIN_VALUE / 2
@@ -105,6 +106,9 @@
                 board.report(from, message.loads)
                 isBoardChanged = true
             }
+            is FleetMessage.Suspect -> {
+                if (suspects.report(message.server, from, now)) tellPause(message.server, SuspectBoard.PAUSE_MS)
+            }
             is FleetMessage.Notice, is FleetMessage.OtherLoad, is FleetMessage.Pause -> Unit
         }
     }
@@ -117,6 +121,7 @@
             entries -= vm
             board.forget(vm)
         }
+        suspects.tick(now)
         tellLoads(all = true)
         greetAll()
         tellEntries(markSilent(now))
--- a/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/EntryFeed.kt
+++ b/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/EntryFeed.kt
@@ -85,6 +85,11 @@
         sender.send(keeper, FleetMessage.OwnLoad(loads))
     }
 
+    /** Tells the other entry VMs that [server] does not answer this one. */
+    public fun reportSuspect(server: ServerId) {
+        reportedTo?.let { sender.send(it, FleetMessage.Suspect(server)) }
+    }
+
     /** Handles [message] of the control VM [from]. */
     public fun receive(from: VmId, message: FleetMessage) {
         val now = clock.monotonicMs()
@@ -95,6 +100,7 @@
             is FleetMessage.OtherLoad -> if (from == reportedTo) receiver.onOtherLoad(message.loads)
             is FleetMessage.Pause -> receiver.onPause(message.server, message.forMs)
             is FleetMessage.Subscribe, is FleetMessage.Greet, is FleetMessage.Fetch, is FleetMessage.OwnLoad -> Unit
+            is FleetMessage.Suspect -> Unit
         }
     }
 
--- a/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/FleetMessage.kt
+++ b/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/FleetMessage.kt
@@ -61,7 +61,12 @@
     @SerialName("o")
     public data class OtherLoad(val loads: List<ServerLoad>) : FleetMessage
 
-    /** The engine [server] changes its stage and takes nothing for [forMs] milliseconds. */
+    /** The engine [server] does not answer the sending entry VM. */
+    @Serializable
+    @SerialName("u")
+    public data class Suspect(val server: ServerId) : FleetMessage
+
+    /** The engine [server] changes its stage or does not answer, and takes nothing for [forMs] milliseconds. */
     @Serializable
     @SerialName("p")
     public data class Pause(val server: ServerId, val forMs: Long) : FleetMessage
--- a/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/StageBalance.kt
+++ b/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/StageBalance.kt
@@ -37,14 +37,15 @@
     private val decodeUse = Use()
     private val prefillUse = Use()
     private var changedMs: Long? = null
-    private var changing: ServerId? = null
-    private var changingFrom: ServerKind? = null
+
+    /** Engines that were told to change, with the stage that they had. */
+    private val changing = HashMap<ServerId, ServerKind>()
 
     /** Notes the present use of [engines] and returns the change to make now, or null. */
     public fun decide(engines: List<EngineUse>, nowMs: Long): StageChange? {
-        val ready = engines.filter { it.row.state == BackendState.READY && !it.row.silent && it.row.id != changing }
+        changing.entries.removeIf { (id, kind) -> engines.none { it.row.id == id && it.row.kind == kind } }
+        val ready = engines.filter { it.row.state == BackendState.READY && !it.row.silent && it.row.id !in changing }
         val (prefills, decodes) = ready.partition { it.row.kind == ServerKind.PREFILL }
-        if (engines.any { it.row.id == changing && it.row.kind != changingFrom }) changing = null
         if (decodes.isEmpty()) return null
         val decode = decodeUse.add(decodes.sumOf { it.load.memoryTokens.toDouble() / it.memoryTokens } / decodes.size)
         val reading = prefills.count { it.load.promptTokens > 0 }.toDouble()
@@ -58,8 +59,7 @@
             ?: toPrefill(prefills, decodes, decode, prefill)
         return change?.also {
             changedMs = nowMs
-            changing = it.server.id
-            changingFrom = it.server.kind
+            changing[it.server.id] = it.server.kind
         }
     }
 
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/Relay.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/Relay.kt
@@ -77,7 +77,7 @@
         ),
         log = log,
         stats = stats,
-        onLoadChanged = ::scheduleLoadReport,
+        news = CollectedNews(),
     )
 
     /** The routing table in force, or null before the first one. */
@@ -108,8 +108,8 @@
         return true
     }
 
-    /** Called when the load that this VM has placed on engines has changed, shortly after. */
-    public var onLoadChanged: () -> Unit = {}
+    /** Receives what the other VMs should know. */
+    public var news: RelayNews = RelayNews.NONE
 
     /** Load that this VM has placed on engines; engines without any are left out. */
     public fun ownLoad(): List<ServerLoad> = book.all.filter { it.row.kind != ServerKind.PLAIN }.map { it.ownLoad }
@@ -134,7 +134,14 @@
 
     private fun reportLoad() {
         isReportDue = false
-        onLoadChanged()
+        news.onLoadChanged()
+    }
+
+    /** Reports of a load that changes several times within a moment are sent once. */
+    private inner class CollectedNews : RelayNews {
+        override fun onLoadChanged() = scheduleLoadReport()
+
+        override fun onSuspect(server: ServerId) = news.onSuspect(server)
     }
 
     /** Takes what is known of a server, and returns the rows that changed. */
--- /dev/null
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/RelayNews.kt
@@ -0,0 +1,22 @@
+package gentiandale.relay
+
+import gentiandale.core.ServerId
+
+/** What the other VMs should know of this one. Called on the event loop. */
+public interface RelayNews {
+    /** The load that this VM has placed on engines has changed, possibly several times. */
+    public fun onLoadChanged()
+
+    /** The engine [server] did not answer this VM. */
+    public fun onSuspect(server: ServerId)
+
+    /** Holds the usual receivers. */
+    public companion object {
+        /** Tells nobody. */
+        public val NONE: RelayNews = object : RelayNews {
+            override fun onLoadChanged() = Unit
+
+            override fun onSuspect(server: ServerId) = Unit
+        }
+    }
+}
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/life/GenerationLife.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/life/GenerationLife.kt
@@ -61,7 +61,8 @@
     override fun tryBegin(): Boolean {
         val now = context.nowMs()
         val excluded = if (prefills < MAX_PREFILLS) tried else tried + prefillServers()
-        when (val plan = context.generations.plan(context.candidates(call.service), excluded, need, engine, now)) {
+        val room = if (context.line.isLate(waiting)) engine?.forLateWork() else engine
+        when (val plan = context.generations.plan(context.candidates(call.service), excluded, need, room, now)) {
             is GenerationPlan.NoRoom -> return false
             is GenerationPlan.NoServer -> giveUp("no decode server")
             is GenerationPlan.Place -> {
@@ -89,7 +90,7 @@
         leavePlace()
         place = server
         hold(need.memoryTokens.toLong())
-        context.onLoadChanged()
+        context.news.onLoadChanged()
     }
 
     /** Sets what the request is believed to hold at its place; regular reports tell the other VMs. */
@@ -105,7 +106,7 @@
         if (place == null) return
         hold(0)
         place = null
-        context.onLoadChanged()
+        context.news.onLoadChanged()
         context.loop.execute(context.line::pump)
     }
 
@@ -239,7 +240,7 @@
             if (!isReading) return
             isReading = false
             server.promptTokens -= size.prompt
-            context.onLoadChanged()
+            context.news.onLoadChanged()
         }
     }
 
@@ -258,6 +259,7 @@
         private var head: HttpResponse? = null
         private var failureBody: ByteBuf = Unpooled.EMPTY_BUFFER
         private var isReading = source == null
+        private var sentMs = context.nowMs()
 
         init {
             if (isReading) server.promptTokens += size.prompt
@@ -265,6 +267,7 @@
 
         override fun request(): FullHttpRequest {
             attempts++
+            sentMs = context.nowMs()
             onBudgetedSend()
             runState = RunState.MAY_HAVE_RUN
             return outbound(server) { headers ->
@@ -277,7 +280,7 @@
             if (!isReading) return
             isReading = false
             server.promptTokens -= size.prompt
-            context.onLoadChanged()
+            context.news.onLoadChanged()
         }
 
         override fun onHead(head: HttpResponse) {
@@ -287,6 +290,7 @@
         override fun onContent(content: ByteBuf) {
             val answer = head ?: return
             if (isStream(answer)) {
+                if (isReading) server.onPromptRead(size.prompt.toLong(), context.nowMs() - sentMs)
                 stopReading()
                 splitter.feed(content).forEach(::pass)
             } else if (failureBody.readableBytes() < MAX_SMALL_BYTES) {
@@ -432,13 +436,15 @@
 
         /** Time for the call itself, in milliseconds: connection, way, and the rest of a step. */
         const val PREFILL_SLACK_MS = 150L
-        const val FIRST_EVENT_SLACK_MS = 400L
+
+        /** A caller waits for the first event for about four times its target; reading a prompt again costs more. */
+        const val FIRST_EVENT_SLACK_MS = 1_200L
 
         /** A pause that makes a stream late and is longer than a lost packet takes. */
-        const val EVENT_GAP_MS = 600L
+        const val EVENT_GAP_MS = 1_000L
 
         /** A caller gives up after a little more than this. */
-        const val MAX_GAP_MS = 1_800L
+        const val MAX_GAP_MS = 2_200L
 
         /** Answers to prefills and failures are small. */
         const val MAX_SMALL_BYTES = 65_536
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/life/GenerationLine.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/life/GenerationLine.kt
@@ -33,6 +33,9 @@
         pump()
     }
 
+    /** Returns whether [waiting] can't be in time any more. */
+    fun isLate(waiting: Waiting): Boolean = order.isLate(waiting, nowMs())
+
     fun leave(member: Member) {
         members -= member
     }
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/life/RelayContext.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/life/RelayContext.kt
@@ -2,6 +2,7 @@
 
 import gentiandale.core.backend.ServiceName
 import gentiandale.core.log.EventLog
+import gentiandale.relay.RelayNews
 import gentiandale.relay.RelayStats
 import gentiandale.relay.backend.Backend
 import gentiandale.relay.backend.BackendBook
@@ -33,7 +34,7 @@
     val decisions: Decisions,
     val log: EventLog,
     val stats: RelayStats,
-    val onLoadChanged: () -> Unit,
+    val news: RelayNews,
 ) {
     val line = GenerationLine(loop, nowMs)
     val plain get() = decisions.plain
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/life/RequestLife.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/life/RequestLife.kt
@@ -1,6 +1,7 @@
 package gentiandale.relay.life
 
 import gentiandale.core.ServerId
+import gentiandale.core.ServerKind
 import gentiandale.relay.RelayEvent
 import gentiandale.relay.backend.Backend
 import gentiandale.relay.routing.Repetition
@@ -238,6 +239,7 @@
         /** Notes a failure that the handler has seen in the answer itself. */
         fun failed(reason: String) {
             server.onFailure(context.nowMs())
+            if (server.row.kind != ServerKind.PLAIN) context.news.onSuspect(server.row.id)
             logFailure(reason)
         }
 
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/placement/WaitingOrder.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/placement/WaitingOrder.kt
@@ -25,8 +25,11 @@
     /** Returns whether a newcomer is better off elsewhere or later: [ahead] generations wait already. */
     public fun isTooLong(ahead: Int): Boolean = ahead >= MAX_WAITING
 
-    /** Returns whether [waiting] has waited so long that it should be given back to its caller. */
-    public fun isHopeless(waiting: Waiting, nowMs: Long): Boolean = nowMs - waiting.startMs > MAX_WAIT_MS
+    /** Returns whether the caller of [waiting] will have left before the first event, so that it is given back now. */
+    public fun isHopeless(waiting: Waiting, nowMs: Long): Boolean {
+        val patienceMs = ((waiting.dueMs - waiting.startMs) * PATIENCE).toLong().coerceAtLeast(LEAST_PATIENCE_MS)
+        return nowMs - waiting.startMs > patienceMs
+    }
 
     private companion object {
         /** Time from the placement to the first event: the prompt is read and its cache moved. */
@@ -35,7 +38,8 @@
         /** Generations of one VM that wait; more would be late by several bursts. */
         const val MAX_WAITING = 12
 
-        /** A burst lasts a few seconds; after that the caller had better try another VM. */
-        const val MAX_WAIT_MS = 4_000L
+        /** Callers leave a stream that has not begun after four times their target; the first event needs the rest. */
+        const val PATIENCE = 3.2
+        const val LEAST_PATIENCE_MS = 1_500L
     }
 }
