Decide on a stage order only once it may be given

Cause: a new leader decided on a change at once, but gave no order before the lease of the leader before was over. The engine then counted as changing for good, and no order was ever given in that term.

--- a/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/StageBalance.kt
+++ b/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/StageBalance.kt
@@ -38,12 +38,17 @@
     private val prefillUse = Use()
     private var changedMs: Long? = null
 
-    /** Engines that were told to change, with the stage that they had. */
-    private val changing = HashMap<ServerId, ServerKind>()
+    /** Engines that were told to change and have not said that they did. */
+    private val changing = HashMap<ServerId, Told>()
+
+    private class Told(val change: StageChange, val atMs: Long)
 
     /** Notes the present use of [engines] and returns the change to make now, or null. */
     public fun decide(engines: List<EngineUse>, nowMs: Long): StageChange? {
-        changing.entries.removeIf { (id, kind) -> engines.none { it.row.id == id && it.row.kind == kind } }
+        changing.values.removeIf { told ->
+            val isDone = engines.none { it.row.id == told.change.server.id && it.row.kind == told.change.server.kind }
+            isDone || nowMs - told.atMs > LATEST_MS + switchMs
+        }
         val ready = engines.filter { it.row.state == BackendState.READY && !it.row.silent && it.row.id !in changing }
         val (prefills, decodes) = ready.partition { it.row.kind == ServerKind.PREFILL }
         if (decodes.isEmpty()) return null
@@ -59,10 +64,15 @@
             ?: toPrefill(prefills, decodes, decode, prefill)
         return change?.also {
             changedMs = nowMs
-            changing[it.server.id] = it.server.kind
+            changing[it.server.id] = Told(it, nowMs)
         }
     }
 
+    /** Notes that the engine [server] did not take the order. */
+    public fun onRefused(server: ServerId) {
+        changing -= server
+    }
+
     /** A decode server can read prompts as well, a prefill server does nothing else, so few of them are kept. */
     private fun toRest(prefills: List<EngineUse>, engines: Int, busy: Double): StageChange? {
         val wanted = (engines + ENGINES_PER_PREFILL - 1) / ENGINES_PER_PREFILL
@@ -114,6 +124,9 @@
         /** Switch times between two changes, so that the effect of the first is seen. */
         const val PAUSES = 2
 
+        /** An order that was not answered may still be carried out until this time, in milliseconds. */
+        const val LATEST_MS = 14_000L
+
         /** Time between two changes while no engine has work: until the first one has answered and is told. */
         const val IDLE_PAUSE_MS = 2_000L
     }
--- a/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/StageOrders.kt
+++ b/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/StageOrders.kt
@@ -51,11 +51,15 @@
             balance = null
         }
         if (present == null || engines.isEmpty()) return
-        val change = (balance ?: StageBalance(switchMs).also { balance = it }).decide(engines, now) ?: return
         if (now - heldSinceMs < leaseMs) return
+        val judge = balance ?: StageBalance(switchMs).also { balance = it }
+        val change = judge.decide(engines, now) ?: return
         sender.send(change, present) { status ->
             log.write(FleetEvent.StageOrdered(change, present.fencing, status))
-            if (status == ACCEPTED) onAccepted(change.server.id, switchMs + TELL_MS)
+            when {
+                status == ACCEPTED -> onAccepted(change.server.id, switchMs + TELL_MS)
+                status != null -> judge.onRefused(change.server.id)
+            }
         }
     }
 }
--- a/gentiandale-fleet/src/test/kotlin/gentiandale/fleet/StageBalanceTest.kt
+++ b/gentiandale-fleet/src/test/kotlin/gentiandale/fleet/StageBalanceTest.kt
@@ -77,6 +77,62 @@
         }
     }
 
+    @Nested
+    inner class Orders {
+        private val sent = ArrayList<StageChange>()
+        private val clock = gentiandale.core.ManualClock(1_000)
+        private var right: OrderRight? = OrderRight(gentiandale.core.FencingNumber(2))
+        private var status: Int? = 202
+        private val orders = StageOrders(
+            clock,
+            gentiandale.core.log.EventLog.NONE,
+            leaseMs = 3_000,
+            right = { right },
+            sender = { change, _, done -> sent += change.also { done(status) } },
+            onAccepted = { _, _ -> },
+        )
+
+        @Test
+        fun `a new leader gives its first order once the lease of the one before is over`() {
+            run(2_500)
+            assertEquals(0, sent.size)
+            run(1_000)
+            assertEquals(1, sent.size)
+        }
+
+        @Test
+        fun `an engine is not told twice while it changes`() {
+            run(12_000)
+            assertEquals(sent.map { it.server.id }.distinct(), sent.map { it.server.id })
+            assertEquals(2, sent.size)
+        }
+
+        @Test
+        fun `an order that was refused is given again`() {
+            status = 409
+            run(9_000)
+            assertEquals(3, sent.size)
+        }
+
+        @Test
+        fun `without the right nothing is ordered, and a right that comes back waits again`() {
+            run(2_500)
+            right = null
+            run(1_000)
+            right = OrderRight(gentiandale.core.FencingNumber(2))
+            run(2_500)
+            assertEquals(0, sent.size)
+        }
+
+        private fun run(ms: Long) {
+            val end = clock.monotonicMs() + ms
+            while (clock.monotonicMs() < end) {
+                orders.tick(fleet(prefills = 3, decodes = 3), switchMs = 6_000)
+                clock.advance(500)
+            }
+        }
+    }
+
     private fun feed(engines: List<EngineUse>): StageChange? =
         (0L..10_000L step 500).firstNotNullOfOrNull { balance.decide(engines, it) }
 
