Leave prompts to prefill engines as long as one answers

Cause: a decode engine that reads a prompt pauses all answers that it makes; with one prefill engine of six at rest the decode engines read often, and streams were late at the usual load already.

--- a/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/StageBalance.kt
+++ b/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/StageBalance.kt
@@ -119,7 +119,7 @@
         const val PREFILL_BUSY = 0.9
 
         /** Engines of which one is for prefill while nothing else is known of the load. */
-        const val ENGINES_PER_PREFILL = 6
+        const val ENGINES_PER_PREFILL = 4
 
         /** Switch times between two changes, so that the effect of the first is seen. */
         const val PAUSES = 2
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/placement/GenerationPlacement.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/placement/GenerationPlacement.kt
@@ -32,7 +32,8 @@
 /**
  * Chooses engines for generations: a decode server with room for prompt and answer, and the prefill server that has
  * read the prompt first. Room is what all VMs together have not placed yet, so memory is not overbooked: an engine
- * that runs out of memory throws out a running request, and everything that it has read is read again.
+ * that runs out of memory throws out a running request, and everything that it has read is read again. A decode server
+ * reads a prompt itself only where no prefill server answers, since all answers that it makes pause meanwhile.
  */
 public class GenerationPlacement(private val home: DataCentreId, private val random: Random) {
     /** Returns where to run [need] among [candidates] without those in [excluded]. */
@@ -48,13 +49,8 @@
         val decode = roomiest(decodes, need, engine) ?: return GenerationPlan.NoRoom
         val ready = prefills.filter { !it.isAvoided(nowMs) }
         if (ready.isEmpty()) return GenerationPlan.Place(decode, null)
-        val prefill = ready.minBy { readMs(it, need.promptTokens) }
-        val isSlow = readMs(prefill, need.promptTokens) > readMs(decode, need.promptTokens) + DECODE_READ_COST_MS
-        return when {
-            isSlow && backlog(decode) == 0L -> GenerationPlan.Place(decode, null)
-            backlog(prefill) > MAX_BACKLOG_TOKENS -> GenerationPlan.NoRoom
-            else -> GenerationPlan.Place(decode, prefill)
-        }
+        val prefill = ready.filter { backlog(it) <= MAX_BACKLOG_TOKENS }.minByOrNull { readMs(it, need.promptTokens) }
+        return if (prefill == null) GenerationPlan.NoRoom else GenerationPlan.Place(decode, prefill)
     }
 
     /** Returns a decode server for a prompt that has been read already, the fullest as a last resort, or null. */
@@ -116,9 +112,6 @@
         /** A failed attempt costs the time of another one. */
         const val FAILURE_COST = 4.0
 
-        /** A prompt that a decode server reads itself delays the answers that it makes at the time. */
-        const val DECODE_READ_COST_MS = 150.0
-
         /** Prompts in a prefill server beyond this would be read too late, and their caches fill its memory. */
         const val MAX_BACKLOG_TOKENS = 30_000L
     }
