Serve metrics, bound the log, and read answers to HEAD requests

Cause: the processes on the platform had no metrics, and a flood of events would have written as many lines.

--- a/gentiandale-core/src/main/kotlin/gentiandale/core/log/LogEvent.kt
+++ b/gentiandale-core/src/main/kotlin/gentiandale/core/log/LogEvent.kt
@@ -8,6 +8,9 @@
     /** What happened, in lower case with dashes. */
     public val name: String
 
+    /** Whether it tells of something that went wrong. */
+    public val isFailure: Boolean get() = false
+
     /** Writes the inputs and the outcome. */
     public fun describe(line: LogLine)
 }
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/Relay.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/Relay.kt
@@ -94,6 +94,9 @@
     /** Digest of the known servers. */
     public val digest: Long get() = book.digest
 
+    /** Generations of this VM that wait for room. */
+    public val waiting: Int get() = context.line.size
+
     /** Number of servers that take work. */
     public val readyServers: Int get() = book.readyCount
 
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/RelayEvent.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/RelayEvent.kt
@@ -106,6 +106,8 @@
         private val firstMs: Long?,
         private val lastEvent: String? = null,
     ) : RelayEvent("ended") {
+        override val isFailure: Boolean get() = outcome != "answered"
+
         override fun describe(line: LogLine) {
             line.field("request", request).field("route", route).field("outcome", outcome).field("status", status)
                 .field("reason", reason).field("attempts", attempts).field("elapsed_ms", elapsedMs)
--- /dev/null
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/RelayMetrics.kt
@@ -0,0 +1,55 @@
+package gentiandale.relay
+
+import io.prometheus.metrics.core.metrics.Counter
+import io.prometheus.metrics.core.metrics.Histogram
+import io.prometheus.metrics.model.registry.PrometheusRegistry
+
+/** Counters and latency histograms of a relay. */
+public class RelayMetrics(registry: PrometheusRegistry) : RelayStats {
+    private val requests = Counter.builder()
+        .name("gentiandale_requests_total")
+        .help("Requests that have ended, by rank and outcome.")
+        .labelNames("rank", "outcome")
+        .register(registry)
+    private val unrouted = Counter.builder()
+        .name("gentiandale_unrouted_requests_total")
+        .help("Requests that had no route, by status.")
+        .labelNames("status")
+        .register(registry)
+    private val repeats = Counter.builder()
+        .name("gentiandale_repeated_sends_total")
+        .help("Repeated sends to servers, by service and whether the retry budget allowed them.")
+        .labelNames("service", "allowed")
+        .register(registry)
+    private val duration = histogram(registry, "gentiandale_request_duration_seconds", "Time to the end of a request.")
+    private val first = histogram(registry, "gentiandale_first_byte_seconds", "Time to the first byte of the answer.")
+
+    override fun onEnded(route: String, urgency: Int, outcome: String, elapsedMs: Long, firstMs: Long?) {
+        requests.labelValues(urgency.toString(), outcome).inc()
+        duration.labelValues(urgency.toString()).observe(elapsedMs / MS_PER_S)
+        if (firstMs != null) first.labelValues(urgency.toString()).observe(firstMs / MS_PER_S)
+    }
+
+    override fun onUnrouted(status: Int) {
+        unrouted.labelValues(status.toString()).inc()
+    }
+
+    override fun onRepeat(service: String, allowed: Boolean) {
+        repeats.labelValues(service, allowed.toString()).inc()
+    }
+
+    private fun histogram(registry: PrometheusRegistry, name: String, help: String) = Histogram.builder()
+        .name(name)
+        .help(help)
+        .labelNames("rank")
+        .classicOnly()
+        .classicUpperBounds(*BOUNDS)
+        .register(registry)
+
+    private companion object {
+        const val MS_PER_S = 1_000.0
+
+        /** Around the targets of plain calls and of first events, and up to the longest deadline, in seconds. */
+        val BOUNDS = doubleArrayOf(0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 15.0)
+    }
+}
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/upstream/ServerPool.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/upstream/ServerPool.kt
@@ -5,7 +5,6 @@
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.socket.SocketChannel
 import io.netty.handler.codec.http.HttpRequestEncoder
-import io.netty.handler.codec.http.HttpResponseDecoder
 
 /**
  * Connections to one backend server. The one that was used last is used first, so that surplus ones grow old and close.
@@ -76,7 +75,7 @@
             override fun initChannel(channel: SocketChannel) {
                 channel.pipeline().addLast(
                     HttpRequestEncoder(),
-                    HttpResponseDecoder(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES),
+                    AnswerDecoder(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES),
                     UpstreamConnection(channel, dialect, this@ServerPool),
                 )
             }
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/upstream/UpstreamConnection.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/upstream/UpstreamConnection.kt
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.FullHttpRequest
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpStatusClass
@@ -44,6 +45,9 @@
 
     val isUsable: Boolean get() = channel.isActive && !isTainted && exchange == null
 
+    /** Decoder of this connection. */
+    private val decoder get() = channel.pipeline().get(AnswerDecoder::class.java)
+
     /** Writes the request of [next]; its answer goes to the listener. */
     fun send(next: Exchange, request: FullHttpRequest) {
         exchange = next
@@ -52,6 +56,7 @@
         requestWritten = false
         answered = false
         used++
+        decoder?.isBodyless = request.method() == HttpMethod.HEAD
         channel.writeAndFlush(request).addListener {
             requestWritten = it.isSuccess
             if (it.isSuccess) settle() else fail("write failed: ${it.cause()?.message}")
