Tell the story of a request and of an incident from log lines

Cause: on call there are only logs and metrics, and nothing put the lines of several processes together. What stands: `gentianctl story REQUEST FILE...` prints every decision about a request with what its VM believed of the servers; `gentianctl incident FROM TO FILE...` prints what changed and how requests ended.

--- a/gentiandale-cli/src/main/kotlin/gentiandale/cli/ControlCommand.kt
+++ b/gentiandale-cli/src/main/kotlin/gentiandale/cli/ControlCommand.kt
@@ -17,6 +17,8 @@
 import gentiandale.cli.command.ExplainCommand
 import gentiandale.cli.command.GetCommand
 import gentiandale.cli.command.HistoryCommand
+import gentiandale.cli.command.IncidentCommand
+import gentiandale.cli.command.RequestStoryCommand
 import gentiandale.cli.command.StatusCommand
 import gentiandale.cli.command.VotersCommand
 import gentiandale.cli.command.outputOption
@@ -41,6 +43,8 @@
             ExplainCommand(),
             DrainCommand(),
             VotersCommand(),
+            RequestStoryCommand(),
+            IncidentCommand(),
         )
     }
 
