Let a broken stream wait anew, before all others

Cause: a stream whose decode engine crashed was judged by the time since its request arrived, so one that had streamed for three seconds counted as hopeless and was cut at once, with nearly all of its answer passed on. Ruled out: the retry budget and a lack of engines; the log said "no room in time" 0 ms after the break. The new test failed before the change (events 1, 2 instead of 1 to 4) and passes now.

--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/life/GenerationLife.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/life/GenerationLife.kt
@@ -42,7 +42,8 @@
     private var current: Send? = null
     private var rejections = 0
 
-    override val waiting = Waiting(route.urgency, call.request.startMs, call.request.startMs + route.targetMs)
+    override var waiting = Waiting(route.urgency, call.request.startMs, call.request.startMs + route.targetMs)
+        private set
 
     override fun hasBegun(): Boolean = begun
 
@@ -134,6 +135,7 @@
     /** Looks for servers anew. */
     private fun restart() {
         leavePlace()
+        if (begun) waiting = Waiting.ofBrokenStream(context.nowMs(), route.targetMs)
         proceed()
     }
 
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/placement/WaitingOrder.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/placement/WaitingOrder.kt
@@ -7,7 +7,15 @@
  * @param startMs monotonic time in milliseconds at which it arrived.
  * @param dueMs monotonic time in milliseconds until which its first event is worth most.
  */
-public class Waiting(public val urgency: Int, public val startMs: Long, public val dueMs: Long)
+public class Waiting(public val urgency: Int, public val startMs: Long, public val dueMs: Long) {
+    /** Makes entries for other cases than a new request. */
+    public companion object {
+        private const val BEFORE_ALL = -1
+
+        /** Returns the entry of a stream that broke at [nowMs]: its caller waits for the next event, and most is done. */
+        public fun ofBrokenStream(nowMs: Long, targetMs: Long): Waiting = Waiting(BEFORE_ALL, nowMs, nowMs + targetMs)
+    }
+}
 
 /**
  * Order of generations that wait for room, and when waiting has no sense any more. It answers bursts that exceed the
--- a/gentiandale-relay/src/test/kotlin/gentiandale/relay/RelayFixture.kt
+++ b/gentiandale-relay/src/test/kotlin/gentiandale/relay/RelayFixture.kt
@@ -1,8 +1,10 @@
 package gentiandale.relay
 
 import gentiandale.core.Address
+import gentiandale.core.ServerId
 import gentiandale.core.ServerKind
 import gentiandale.core.SystemClock
+import gentiandale.core.backend.ServerLoad
 import gentiandale.core.log.EventLog
 import gentiandale.relay.caller.CallerServer
 import gentiandale.relay.routing.CallerLimits
@@ -30,6 +32,7 @@
             route("/once/", Repetition.AT_MOST_ONCE, attempts = 2),
             route("/short/", Repetition.IDEMPOTENT, attempts = 1, timeoutMs = 200),
             route("/stream/", Repetition.RESUMABLE, attempts = 2, stream = true),
+            route("/stream-short/", Repetition.RESUMABLE, attempts = 2, stream = true, targetMs = 100),
             route("/stream-once/", Repetition.AT_MOST_ONCE, attempts = 1, stream = true),
         )
         val engine = EngineRule(places = 8, memoryTokens = 10_000, tokenBytes = 1, handleLifetimeMs = 500)
@@ -45,6 +48,12 @@
         return fake
     }
 
+    /** Tells the relay that other VMs hold [memoryTokens] at the server [id]. */
+    fun otherLoad(id: String, memoryTokens: Long) {
+        val load = ServerLoad(ServerId(id), running = 1, memoryTokens = memoryTokens)
+        transport.loop.submit { relay.onOtherLoad(listOf(load)) }.get()
+    }
+
     /** Opens a connection of a caller. */
     fun connect() = Socket("127.0.0.1", port).also { it.soTimeout = SOCKET_TIMEOUT_MS }
 
@@ -70,6 +79,7 @@
         attempts: Int,
         stream: Boolean = false,
         timeoutMs: Long = 5_000,
+        targetMs: Long = 1_000,
     ) = RouteRule(
         name = prefix,
         host = "h",
@@ -77,7 +87,7 @@
         repetition = repetition,
         stream = stream,
         timeoutMs = timeoutMs,
-        targetMs = 1_000,
+        targetMs = targetMs,
         urgency = 0,
         shares = listOf(TrafficShare(SERVICE, 1)),
         maxAttempts = attempts,
--- a/gentiandale-relay/src/test/kotlin/gentiandale/relay/StreamRelayTest.kt
+++ b/gentiandale-relay/src/test/kotlin/gentiandale/relay/StreamRelayTest.kt
@@ -4,6 +4,7 @@
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Nested
 import java.net.Socket
+import kotlin.concurrent.thread
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertFalse
@@ -95,6 +96,28 @@
             assertFalse(answer.endsWith("0\r\n\r\n"))
         }
 
+        @Test
+        fun `a stream that breaks after a long time still waits for room elsewhere`() {
+            relay.server("d1", ServerKind.DECODE) { request, socket ->
+                head(request, socket)
+                chunk(socket, event(1))
+                Thread.sleep(900)
+                chunk(socket, event(2))
+                relay.otherLoad("d1", memoryTokens = 10_000)
+                Thread.sleep(900)
+                false
+            }
+            relay.otherLoad("d1", memoryTokens = 0)
+            thread(isDaemon = true) {
+                Thread.sleep(500)
+                relay.server("d2", ServerKind.DECODE) { request, socket -> stream(request, socket, 3..4) }
+                relay.otherLoad("d2", memoryTokens = 10_000)
+                Thread.sleep(1_700)
+                relay.otherLoad("d2", memoryTokens = 0)
+            }
+            assertEquals(listOf("1", "2", "3", "4"), events(relay.get("/stream-short/1")))
+        }
+
         /** Two whole events and a part of the third. */
         private fun breakOff(request: RawRequest, socket: Socket): Boolean {
             head(request, socket)
