--- a/gentiandale-cli/src/main/kotlin/gentiandale/cli/command/LogCommands.kt
+++ b/gentiandale-cli/src/main/kotlin/gentiandale/cli/command/LogCommands.kt
@@ -20,7 +20,13 @@
 
     /** Returns the lines of [files]. */
     protected fun story(files: List<File>): LogStory {
-        val lines = if (files.isEmpty()) System.`in`.bufferedReader().lineSequence() else files.asSequence().flatMap { it.readLines() }
+        val lines = if (files.isEmpty()) {
+            System.`in`.bufferedReader().lineSequence()
+        } else {
+            files.asSequence().flatMap {
+                it.readLines()
+            }
+        }
         return LogStory(lines)
     }
 
--- a/gentiandale-cli/src/test/kotlin/gentiandale/cli/log/LogStoryTest.kt
+++ b/gentiandale-cli/src/test/kotlin/gentiandale/cli/log/LogStoryTest.kt
@@ -37,7 +37,12 @@
     fun `an incident shows changes and how requests ended`() {
         val story = LogStory(lines.lineSequence())
         assertEquals(listOf("fleet/control-lost"), story.changes(2_000, 3_000).map { it.event })
-        assertEquals(setOf("failed" to 1, "answered" to 1), story.endings(0, 3_000).map { it.first to it.third }.toSet())
+        assertEquals(
+            setOf("failed" to 1, "answered" to 1),
+            story.endings(0, 3_000).map {
+                it.first to it.third
+            }.toSet(),
+        )
     }
 
     @Test
--- a/gentiandale-fleet/src/test/kotlin/gentiandale/fleet/StageBalanceTest.kt
+++ b/gentiandale-fleet/src/test/kotlin/gentiandale/fleet/StageBalanceTest.kt
@@ -73,7 +73,15 @@
         fun `the next change waits until the effect of the first can be seen`() {
             val engines = fleet(prefills = 4, decodes = 2, memory = 1_000)
             val first = assertNotNull(balance.decide(engines, 0)).server.id
-            val changed = engines.map { if (it.row.id == first) it.copy(row = it.row.copy(kind = ServerKind.DECODE)) else it }
+            val changed = engines.map {
+                if (it.row.id ==
+                    first
+                ) {
+                    it.copy(row = it.row.copy(kind = ServerKind.DECODE))
+                } else {
+                    it
+                }
+            }
             assertNull(balance.decide(changed, 11_000))
             assertNotNull(balance.decide(changed, 12_500))
         }
@@ -85,7 +93,7 @@
         private val clock = gentiandale.core.ManualClock(1_000)
         private var right: OrderRight? = OrderRight(gentiandale.core.FencingNumber(2))
         private var status: Int? = 202
-        private val orders = StageOrders(
+        private val giver = StageOrders(
             clock,
             gentiandale.core.log.EventLog.NONE,
             leaseMs = 3_000,
@@ -129,7 +137,7 @@
         private fun run(ms: Long) {
             val end = clock.monotonicMs() + ms
             while (clock.monotonicMs() < end) {
-                orders.tick(fleet(prefills = 3, decodes = 3), switchMs = 6_000)
+                giver.tick(fleet(prefills = 3, decodes = 3), switchMs = 6_000)
                 clock.advance(500)
             }
         }
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/RelayMetrics.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/RelayMetrics.kt
@@ -43,13 +43,15 @@
         .help(help)
         .labelNames("rank")
         .classicOnly()
-        .classicUpperBounds(*BOUNDS)
+        .classicExponentialUpperBounds(SHORTEST_S, BUCKET_FACTOR, BUCKETS)
         .register(registry)
 
     private companion object {
         const val MS_PER_S = 1_000.0
 
-        /** Around the targets of plain calls and of first events, and up to the longest deadline, in seconds. */
-        val BOUNDS = doubleArrayOf(0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 15.0)
+        /** From the time of the shortest plain call to beyond the longest deadline: 12.5 ms to 12.8 s and 25.6 s. */
+        const val SHORTEST_S = 0.0125
+        const val BUCKET_FACTOR = 2.0
+        const val BUCKETS = 12
     }
 }
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/placement/WaitingOrder.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/placement/WaitingOrder.kt
@@ -12,7 +12,7 @@
     public companion object {
         private const val BEFORE_ALL = -1
 
-        /** Returns the entry of a stream that broke at [nowMs]: its caller waits for the next event, and most is done. */
+        /** Returns the entry of a stream that broke at [nowMs]: its caller waits, and most of it is done. */
         public fun ofBrokenStream(nowMs: Long, targetMs: Long): Waiting = Waiting(BEFORE_ALL, nowMs, nowMs + targetMs)
     }
 }
--- a/gentiandale-relay/src/test/kotlin/gentiandale/relay/PlainRelayTest.kt
+++ b/gentiandale-relay/src/test/kotlin/gentiandale/relay/PlainRelayTest.kt
@@ -214,7 +214,7 @@
                 "another coding" to "${start}transfer-encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
                 "bad chunk size" to "${start}transfer-encoding: chunked\r\n\r\nzz\r\nabc\r\n0\r\n\r\n",
                 "negative length" to "${start}content-length: -1\r\n\r\n",
-                "chunks before 1.1" to "POST /once/1 HTTP/1.0\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n",
+                "chunks before 1.1" to "${start.replace("1.1", "1.0")}transfer-encoding: chunked\r\n\r\n0\r\n\r\n",
                 "space in a name" to "POST /once/1 HTTP/1.1\r\nhost : h\r\n\r\n",
             )
             cases.forEach { (what, bytes) ->
@@ -244,7 +244,8 @@
         fun `a caller may wait to be asked for its body`() {
             relay.server("a") { request, socket -> FakeServer.reply(socket, request, request.body) }
             relay.connect().use { socket ->
-                val head = "POST /once/1 HTTP/1.1\r\nhost: h\r\nid: r1\r\nexpect: 100-continue\r\ncontent-length: 2\r\n\r\n"
+                val start = "POST /once/1 HTTP/1.1\r\nhost: h\r\nid: r1\r\n"
+                val head = "${start}expect: 100-continue\r\ncontent-length: 2\r\n\r\n"
                 socket.getOutputStream().write(head.toByteArray())
                 assertTrue(FakeServer.readHead(socket.getInputStream())!!.startsWith("HTTP/1.1 100"))
                 socket.getOutputStream().write("ok".toByteArray())
