--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/life/GenerationLife.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/life/GenerationLife.kt
@@ -3,7 +3,6 @@
 import gentiandale.core.ServerKind
 import gentiandale.relay.RelayEvent
 import gentiandale.relay.backend.Backend
-import gentiandale.relay.placement.GenerationNeed
 import gentiandale.relay.placement.GenerationPlan
 import gentiandale.relay.placement.Waiting
 import gentiandale.relay.routing.Repetition
@@ -14,9 +13,7 @@
 import io.netty.buffer.Unpooled
 import io.netty.handler.codec.http.FullHttpRequest
 import io.netty.handler.codec.http.HttpHeaderNames
-import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpResponse
-import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpStatusClass
 import io.netty.util.concurrent.ScheduledFuture
 import java.util.concurrent.TimeUnit
@@ -24,17 +21,15 @@
 /** Life of a request that is answered by a stream of events, made by a prefill and a decode server together. */
 internal class GenerationLife(call: Call, context: RelayContext) :
     RequestLife(call, context),
-    GenerationLine.Member {
+    GenerationLine.Member,
+    PrefillCall.Outcome {
     private class Cache(val server: Backend, val handle: String)
 
     private val size = context.dialect.size(call.headers) ?: DEFAULT_SIZE
     private val engine = call.rule?.engine
-    private val expected = context.answers.expect(route.name, size)
-    private val need = GenerationNeed(size.prompt, size.prompt + growth(0))
-    private var held = 0L
-    private var made = 0
+    private val room =
+        HeldRoom(size, context.answers.expect(route.name, size), engine?.tokensPerEvent ?: 1, ::onRoomChanged)
     private var cache: Cache? = null
-    private var place: Backend? = null
     private var prefills = 0
     private var begun = false
     private var lastNumber: Long? = lastEvent?.toLongOrNull()
@@ -50,7 +45,7 @@
     override fun release() {
         gapTimer?.cancel(false)
         context.line.leave(this)
-        leavePlace()
+        room.leave()
         cache?.let(::free)
         cache = null
     }
@@ -62,12 +57,12 @@
     override fun tryBegin(): Boolean {
         val now = context.nowMs()
         val excluded = if (prefills < MAX_PREFILLS) tried else tried + prefillServers()
-        val room = if (context.line.isLate(waiting)) engine?.forLateWork() else engine
-        when (val plan = context.generations.plan(context.candidates(call.service), excluded, need, room, now)) {
+        val open = if (context.line.isLate(waiting)) engine?.forLateWork() else engine
+        when (val plan = context.generations.plan(context.candidates(call.service), excluded, room.need, open, now)) {
             is GenerationPlan.NoRoom -> return false
             is GenerationPlan.NoServer -> giveUp("no decode server")
             is GenerationPlan.Place -> {
-                take(plan.decode)
+                room.take(plan.decode)
                 logReserved(plan, now)
                 if (plan.prefill == null) run(plan.decode) else prefill(plan.prefill)
             }
@@ -79,34 +74,15 @@
         val waitedMs = now - call.request.startMs
         val prefill = plan.prefill?.row?.id
         val ahead = context.line.size - 1
-        val need = need.memoryTokens
+        val need = room.need.memoryTokens
         context.log.write(RelayEvent.Reserved(call.id, plan.decode.row.id, prefill, size, need, waitedMs, ahead))
     }
 
     private fun prefillServers() =
         context.candidates(call.service).filter { it.row.kind == ServerKind.PREFILL }.map { it.row.id }
 
-    /** Reserves room at [server], which the other VMs are told of. */
-    private fun take(server: Backend) {
-        leavePlace()
-        place = server
-        hold(need.memoryTokens.toLong())
-        context.news.onLoadChanged()
-    }
-
-    /** Sets what the request is believed to hold at its place; regular reports tell the other VMs. */
-    private fun hold(tokens: Long) {
-        place?.let { it.memoryTokens += tokens - held }
-        held = tokens
-    }
-
-    /** Returns the tokens by which an answer of [made] tokens is expected to grow before others have ended. */
-    private fun growth(made: Int): Int = (expected - made).coerceIn(MIN_GROWTH_TOKENS, GROWTH_TOKENS)
-
-    private fun leavePlace() {
-        if (place == null) return
-        hold(0)
-        place = null
+    /** Tells the other VMs, and lets those that wait here look again. */
+    private fun onRoomChanged() {
         context.news.onLoadChanged()
         context.loop.execute(context.line::pump)
     }
@@ -118,11 +94,12 @@
     private fun prefill(server: Backend) {
         if (prefills > 0 && !context.budgetOf(call.service).take(context.nowMs())) {
             prefills = MAX_PREFILLS
-            return place?.let(::run) ?: giveUp("no decode server")
+            return room.place?.let(::run) ?: giveUp("no decode server")
         }
         prefills++
         val waitMs = context.generations.readMs(server, size.prompt)
-        val send = send(server, "prefill", Long.MAX_VALUE, Prefill(server))
+        val prefill = PrefillCall(server, size.prompt, context, { outbound(server, context.dialect::askPrefill) }, this)
+        val send = send(server, "prefill", Long.MAX_VALUE, prefill)
         current = send
         send.onSilence((waitMs * READ_PATIENCE).toLong() + PREFILL_SLACK_MS) {
             send.failed("no KV cache in time")
@@ -134,7 +111,7 @@
 
     /** Looks for servers anew. */
     private fun restart() {
-        leavePlace()
+        room.leave()
         if (begun) waiting = Waiting.ofBrokenStream(context.nowMs(), route.targetMs)
         proceed()
     }
@@ -185,73 +162,31 @@
         context.upstreams.send(unused.server, null, Long.MAX_VALUE, listener)
     }
 
-    private inner class Prefill(private val server: Backend) : SendHandler {
-        private var status = HttpResponseStatus.OK
-        private var headers: HttpHeaders? = null
-        private var body: ByteBuf = Unpooled.EMPTY_BUFFER
-        private var sentMs = context.nowMs()
-        private val queued = server.promptTokens + server.otherPromptTokens + size.prompt
-        private var isReading = true
-
-        init {
-            server.promptTokens += size.prompt
-        }
-
-        override fun request(): FullHttpRequest {
-            sentMs = context.nowMs()
-            return outbound(server, context.dialect::askPrefill)
-        }
-
-        override fun onHead(head: HttpResponse) {
-            status = head.status()
-            headers = head.headers()
-        }
-
-        override fun onContent(content: ByteBuf) {
-            if (body.readableBytes() < MAX_SMALL_BYTES) body = Unpooled.wrappedBuffer(body, content.retain())
-        }
-
-        override fun onEnd() {
-            val handle = if (status == HttpResponseStatus.OK) context.dialect.prefillHandle(body) else null
-            onDropped()
-            if (handle == null) return onUnusable()
-            server.onPromptRead(queued, context.nowMs() - sentMs)
-            cache = Cache(server, handle)
-            val kept = place?.takeIf { it.takesWork && !it.isAvoided(context.nowMs()) }
-            runWithCache(kept)
-        }
-
-        private fun onUnusable() {
-            val rejected = headers?.let { context.dialect.isNotExecuted(status.code(), it) } ?: false
-            if (rejected) server.onFull(context.nowMs()) else server.onFailure(context.nowMs())
-            current?.logFailure("prefill answered ${status.code()}")
-            context.budgetOf(call.service).take(context.nowMs())
-            if (!rejected) tried += server.row.id
-            restart()
-        }
+    override fun onCache(server: Backend, handle: String) {
+        cache = Cache(server, handle)
+        runWithCache(room.place?.takeIf { it.takesWork && !it.isAvoided(context.nowMs()) })
+    }
 
-        override fun onFailure(failure: SendFailure) {
-            onDropped()
-            tried += server.row.id
-            restart()
-        }
+    override fun onNoCache(server: Backend, status: Int, isRejected: Boolean) {
+        if (isRejected) server.onFull(context.nowMs()) else server.onFailure(context.nowMs())
+        current?.logFailure("prefill answered $status")
+        context.budgetOf(call.service).take(context.nowMs())
+        if (!isRejected) tried += server.row.id
+        restart()
+    }
 
-        override fun onDropped() {
-            body.release()
-            body = Unpooled.EMPTY_BUFFER
-            if (!isReading) return
-            isReading = false
-            server.promptTokens -= size.prompt
-            context.news.onLoadChanged()
-        }
+    override fun onPrefillFailed(server: Backend) {
+        tried += server.row.id
+        restart()
     }
 
     /** Runs the request at [kept], or where else there is room; the KV cache lives for a moment only. */
     private fun runWithCache(kept: Backend?) {
         val now = context.nowMs()
-        val server = kept ?: context.generations.decode(context.candidates(call.service), tried, need, engine, now)
+        val candidates = context.candidates(call.service)
+        val server = kept ?: context.generations.decode(candidates, tried, room.need, engine, now)
             ?: return giveUp("no decode server")
-        if (server !== place) take(server)
+        if (server !== room.place) room.take(server)
         run(server)
     }
 
@@ -310,8 +245,7 @@
                 lastNumber = it
                 lastEvent = it.toString()
             }
-            made += engine?.tokensPerEvent ?: 1
-            hold(size.prompt.toLong() + made + growth(made))
+            room.onEvent()
             call.reply.part(event.bytes)
             current?.let { watch(it, EVENT_GAP_MS, 0) }
         }
@@ -338,7 +272,7 @@
                 val rest = splitter.takeRest()
                 if (rest.isReadable) call.reply.part(rest) else rest.release()
                 call.reply.end()
-                context.answers.observe(route.name, made)
+                context.answers.observe(route.name, room.made)
                 return finish("answered", answer.status().code())
             }
             val status = answer.status()
@@ -423,10 +357,6 @@
         /** Assumed of a request that does not state its size. */
         val DEFAULT_SIZE = GenerationSize(prompt = 1_000, answer = 100, expected = 100)
 
-        /** Growth for which room is kept: until then some of the requests beside it have ended. */
-        const val GROWTH_TOKENS = 1_000
-        const val MIN_GROWTH_TOKENS = 200
-
         /** Prefill calls of one request before a decode server reads the prompt itself. */
         const val MAX_PREFILLS = 2
 
--- /dev/null
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/life/PrefillCall.kt
@@ -0,0 +1,90 @@
+package gentiandale.relay.life
+
+import gentiandale.relay.backend.Backend
+import gentiandale.relay.upstream.SendFailure
+import io.netty.buffer.ByteBuf
+import io.netty.buffer.Unpooled
+import io.netty.handler.codec.http.FullHttpRequest
+import io.netty.handler.codec.http.HttpHeaders
+import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpResponseStatus
+
+/**
+ * The call that has a prompt of [promptTokens] tokens read by [server].
+ *
+ * @param build returns the call.
+ */
+internal class PrefillCall(
+    private val server: Backend,
+    private val promptTokens: Int,
+    private val context: RelayContext,
+    private val build: () -> FullHttpRequest,
+    private val outcome: Outcome,
+) : SendHandler {
+    /** Receives how the call ended. */
+    interface Outcome {
+        /** The KV cache is there under [handle]. */
+        fun onCache(server: Backend, handle: String)
+
+        /** The server answered [status] without a KV cache; [isRejected] if it states that it has not run the call. */
+        fun onNoCache(server: Backend, status: Int, isRejected: Boolean)
+
+        /** No whole answer came. */
+        fun onPrefillFailed(server: Backend)
+    }
+
+    private val queued = server.promptTokens + server.otherPromptTokens + promptTokens
+    private var status = HttpResponseStatus.OK
+    private var headers: HttpHeaders? = null
+    private var body: ByteBuf = Unpooled.EMPTY_BUFFER
+    private var sentMs = context.nowMs()
+    private var isReading = true
+
+    init {
+        server.promptTokens += promptTokens
+    }
+
+    override fun request(): FullHttpRequest {
+        sentMs = context.nowMs()
+        return build()
+    }
+
+    override fun onHead(head: HttpResponse) {
+        status = head.status()
+        headers = head.headers()
+    }
+
+    override fun onContent(content: ByteBuf) {
+        if (body.readableBytes() < MAX_BYTES) body = Unpooled.wrappedBuffer(body, content.retain())
+    }
+
+    override fun onEnd() {
+        val handle = if (status == HttpResponseStatus.OK) context.dialect.prefillHandle(body) else null
+        onDropped()
+        if (handle == null) {
+            val isRejected = headers?.let { context.dialect.isNotExecuted(status.code(), it) } ?: false
+            return outcome.onNoCache(server, status.code(), isRejected)
+        }
+        server.onPromptRead(queued, context.nowMs() - sentMs)
+        outcome.onCache(server, handle)
+    }
+
+    override fun onFailure(failure: SendFailure) {
+        onDropped()
+        outcome.onPrefillFailed(server)
+    }
+
+    override fun onDropped() {
+        body.release()
+        body = Unpooled.EMPTY_BUFFER
+        if (!isReading) return
+        isReading = false
+        server.promptTokens -= promptTokens
+        context.news.onLoadChanged()
+    }
+
+    private companion object {
+        /** The answer names a handle and little else. */
+        const val MAX_BYTES = 65_536
+    }
+}
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/life/RequestLife.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/life/RequestLife.kt
@@ -190,27 +190,6 @@
         return send
     }
 
-    /** Reports of one send. [onHead] returns whether the body is wanted. */
-    protected interface SendHandler {
-        /** Returns the request to write now. */
-        fun request(): FullHttpRequest
-
-        /** Takes status and headers. */
-        fun onHead(head: HttpResponse)
-
-        /** Takes a part of the body. */
-        fun onContent(content: ByteBuf)
-
-        /** Notes the end of a complete answer. */
-        fun onEnd()
-
-        /** Notes that no whole answer will come. */
-        fun onFailure(failure: SendFailure)
-
-        /** Notes that the answer is not waited for any more. */
-        fun onDropped()
-    }
-
     /** One send of this request to one server. */
     protected inner class Send(
         val server: Backend,
