--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/Relay.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/Relay.kt
@@ -170,7 +170,6 @@
             service = service,
             rule = present.service(service),
             endMs = endMs,
-            callerEndMs = endMs,
         )
         val life = if (route.stream) GenerationLife(call, context) else PlainLife(call, context)
         life.start()
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/life/Call.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/life/Call.kt
@@ -24,5 +24,4 @@
     val service: ServiceName,
     val rule: ServiceRule?,
     val endMs: Long,
-    val callerEndMs: Long,
 )
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/life/RequestLife.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/life/RequestLife.kt
@@ -58,8 +58,7 @@
 
     /** Starts the life. */
     fun start() {
-        val leftMs = call.endMs - context.nowMs()
-        endTimer = context.loop.schedule(::onEndOfTime, leftMs.coerceAtLeast(0), TimeUnit.MILLISECONDS)
+        endTimer = context.loop.schedule(::onEndOfTime, leftMs().coerceAtLeast(0), TimeUnit.MILLISECONDS)
         context.budgetOf(call.service).onRequest(context.nowMs())
         proceed()
     }
@@ -69,7 +68,8 @@
         if (!isOver) finish("caller-left", null, "the caller closed its connection")
     }
 
-    protected fun leftMs(): Long = call.callerEndMs - context.nowMs()
+    /** Time in milliseconds until the final answer is due. */
+    protected fun leftMs(): Long = call.endMs - context.nowMs()
 
     private fun onEndOfTime() {
         if (isOver) return
