--- a/gentiandale-relay/src/test/kotlin/gentiandale/relay/PlainRelayTest.kt
+++ b/gentiandale-relay/src/test/kotlin/gentiandale/relay/PlainRelayTest.kt
@@ -125,6 +125,32 @@
         }
     }
 
+    @Nested
+    inner class EarlyAnswers {
+        @Test
+        fun `a server that answers before it has read a long body gets the rest of that body`() {
+            val body = "b".repeat(300_000)
+            val rest = java.util.concurrent.CompletableFuture<String>()
+            relay.server("a") { request, socket ->
+                FakeServer.reply(socket, request, "early")
+                Thread.sleep(200)
+                val left = body.length - request.body.length
+                if (left >
+                    0
+                ) {
+                    rest.complete(String(socket.getInputStream().readNBytes(left)))
+                } else {
+                    rest.complete(request.body)
+                }
+                true
+            }
+            val head = "POST /once/1 HTTP/1.1\r\nhost: h\r\nid: r1\r\nconnection: close\r\n"
+            val answer = relay.exchange("${head}content-length: ${body.length}\r\n\r\n$body")
+            assertTrue(answer.endsWith("early"))
+            assertTrue(rest.get(5, java.util.concurrent.TimeUnit.SECONDS).all { it == 'b' })
+        }
+    }
+
     @Nested
     inner class Refusals {
         @Test
@@ -224,6 +250,13 @@
             assertEquals(0, server.requests.size)
         }
 
+        @Test
+        fun `a header over two lines does not become two headers`() {
+            val server = relay.server("a") { request, socket -> FakeServer.reply(socket, request, "") }
+            relay.get("/safe/1", "x-other: one\r\n stage: prefill\r\n")
+            assertTrue(server.requests.all { it.header("stage") == null })
+        }
+
         @Test
         fun `too large heads and bodies are refused`() {
             assertTrue(relay.get("/safe/1", "x: ${"y".repeat(20_000)}\r\n").startsWith("HTTP/1.1 431"))
