Refuse at once what a stopping VM can't finish

Cause: a VM that was told to stop took generations until its end. One that came seven seconds after the signal, from a caller with an open connection, was cut when the grace time was over (rule LOST). Ruled out: a crash and the engines; the request ran well until the process ended.

--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/Relay.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/Relay.kt
@@ -62,6 +62,7 @@
     private val upstreams = Upstreams(transport, dialect, clock::monotonicMs, ::connectionShare)
     private val budgets = HashMap<ServiceName, RetryBudget>()
     private var isReportDue = false
+    private var stop: Stop? = null
     private val context = RelayContext(
         loop = transport.loop,
         nowMs = clock::monotonicMs,
@@ -147,6 +148,11 @@
         override fun onSuspect(server: ServerId) = news.onSuspect(server)
     }
 
+    /** Refuses from now on what can't be finished before the end of [stop]. */
+    public fun beginStop(stop: Stop) {
+        this.stop = stop
+    }
+
     /** Takes what is known of a server, and returns the rows that changed. */
     public fun merge(
         row: BackendRow,
@@ -156,6 +162,9 @@
         val present = table ?: return refuse(request, reply, UNAVAILABLE, "no configuration yet")
         val host = request.headers.get(HttpHeaderNames.HOST).orEmpty()
         val route = present.find(host, request.target) ?: return refuse(request, reply, NOT_FOUND, "no route")
+        if (stop?.leavesTimeFor(route.stream, clock.monotonicMs()) == false) {
+            return refuse(request, reply, UNAVAILABLE, "this VM stops")
+        }
         val service = route.drawService(random)
         val headers = request.headers.endToEnd().also(dialect::removeReserved)
         val callerEndMs = dialect.deadlineMs(request.headers)?.let { request.startMs + it } ?: Long.MAX_VALUE
@@ -178,7 +187,7 @@
 
     private fun refuse(request: CallerRequest, reply: CallerReply, status: Int, reason: String): () -> Unit {
         val headers = DefaultHttpHeaders()
-        if (status == UNAVAILABLE) headers.set(HttpHeaderNames.RETRY_AFTER, START_RETRY_S)
+        if (status == UNAVAILABLE) headers.set(HttpHeaderNames.RETRY_AFTER, OTHER_VM_RETRY_S)
         reply.answer(status, headers, Unpooled.EMPTY_BUFFER)
         request.body.release()
         val id = dialect.requestId(request.headers)
@@ -200,8 +209,8 @@
         const val UNAVAILABLE = 503
         const val NOT_FOUND = 404
 
-        /** A VM has its configuration about a second after its start. */
-        const val START_RETRY_S = "0.5"
+        /** A VM has its configuration about a second after its start; a retry goes to another VM anyway. */
+        const val OTHER_VM_RETRY_S = "0.3"
 
         /** Assumed until the number of VMs is known. */
         const val DEFAULT_ENTRY_VMS = 20
--- a/gentiandale-relay/src/test/kotlin/gentiandale/relay/RelayFixture.kt
+++ b/gentiandale-relay/src/test/kotlin/gentiandale/relay/RelayFixture.kt
@@ -54,6 +54,12 @@
         transport.loop.submit { relay.onOtherLoad(listOf(load)) }.get()
     }
 
+    /** Lets the relay stop as if it had been told so [agoMs] milliseconds ago, with [leftMs] left. */
+    fun beginStop(agoMs: Long, leftMs: Long) {
+        val now = SystemClock.monotonicMs()
+        transport.loop.submit { relay.beginStop(Stop(now - agoMs, now + leftMs)) }.get()
+    }
+
     /** Opens a connection of a caller. */
     fun connect() = Socket("127.0.0.1", port).also { it.soTimeout = SOCKET_TIMEOUT_MS }
 
