Confirm a reservation with the control VM that keeps the loads

Ruled out: the lag of load news alone (40 ms); a rule with noise only lowers the number of collisions. Change: a VM that reserves tells its load at once and goes on when it knows what was told before, or after 25 ms; if the room is taken it looks anew. A cache that was rejected is offered to another engine once, then the prompt is read by a prefill server again instead of beside answers.

--- a/gentiandale-core/src/main/kotlin/gentiandale/core/backend/ServerLoad.kt
+++ b/gentiandale-core/src/main/kotlin/gentiandale/core/backend/ServerLoad.kt
@@ -11,8 +11,8 @@
  * @param running requests that have not ended.
  * @param promptTokens prompt tokens that it has not read yet.
  * @param memoryTokens tokens that these requests hold in its memory.
- * @param ahead tokens that they are expected to hold once each of them has made as many more as [STEPS] says, those that
- *   have ended by then left out; empty if nothing is known but the present.
+ * @param ahead tokens that they are expected to hold once each of them has made as many more as [STEPS] says, those
+ *   that have ended by then left out; empty if nothing is known but the present.
  */
 @Serializable
 public data class ServerLoad(
--- a/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/ControlHub.kt
+++ b/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/ControlHub.kt
@@ -105,6 +105,9 @@
             is FleetMessage.OwnLoad -> {
                 board.report(from, message.loads)
                 isBoardChanged = true
+                if (message.question > 0) {
+                    sender.send(from, FleetMessage.OtherLoad(board.newsFor(from, all = false), message.question))
+                }
             }
             is FleetMessage.Suspect -> {
                 if (suspects.report(message.server, from, now)) tellPause(message.server, SuspectBoard.PAUSE_MS)
--- a/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/EntryFeed.kt
+++ b/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/EntryFeed.kt
@@ -53,6 +53,10 @@
     private var rowsMs: Long? = null
     private var reportedTo: VmId? = null
     private var reportedAny = false
+    private var questions = 0L
+    private val waiting = ArrayList<Waiting>()
+
+    private class Waiting(val question: Long, val done: () -> Unit)
 
     /** Time in milliseconds since a control VM was heard last; null if none ever was. */
     public val ageMs: Long? get() = heardMs?.let { clock.monotonicMs() - it }
@@ -74,15 +78,34 @@
         reportLoad()
     }
 
+    /**
+     * Tells the load at once, and calls [done] when the load is known that others had told before. The control VM hears
+     * one VM after the other, so of two that choose the same engine at the same time the second one knows of the first.
+     */
+    public fun confirmLoad(done: () -> Unit) {
+        questions++
+        waiting += Waiting(questions, done)
+        reportLoad(questions)
+        if (reportedTo == null) answer(questions)
+    }
+
+    private fun answer(question: Long) {
+        val answered = waiting.filter { it.question <= question }
+        waiting -= answered.toSet()
+        answered.forEach { it.done() }
+    }
+
     /** Tells the other entry VMs what this one has placed, by way of the same control VM for all of them. */
-    public fun reportLoad() {
+    public fun reportLoad(): Unit = reportLoad(question = 0)
+
+    private fun reportLoad(question: Long) {
         val keeper = roster.heard(clock.monotonicMs()).minOrNull() ?: return
         val loads = receiver.ownLoad
         if (loads.isEmpty() && keeper == reportedTo && !reportedAny) return
         reportedTo?.takeIf { it != keeper }?.let { sender.send(it, FleetMessage.OwnLoad(emptyList())) }
         reportedTo = keeper
         reportedAny = loads.isNotEmpty()
-        sender.send(keeper, FleetMessage.OwnLoad(loads))
+        sender.send(keeper, FleetMessage.OwnLoad(loads, question))
     }
 
     /** Tells the other entry VMs that [server] does not answer this one. */
@@ -97,13 +120,18 @@
             is FleetMessage.Notice -> onNotice(from, message, now)
             is FleetMessage.Configuration -> onConfiguration(from, message.document)
             is FleetMessage.Servers -> onServers(from, message.rows, now)
-            is FleetMessage.OtherLoad -> if (from == reportedTo) receiver.onOtherLoad(message.loads)
+            is FleetMessage.OtherLoad -> if (from == reportedTo) onOtherLoad(message)
             is FleetMessage.Pause -> receiver.onPause(message.server, message.forMs)
             is FleetMessage.Subscribe, is FleetMessage.Greet, is FleetMessage.Fetch, is FleetMessage.OwnLoad -> Unit
             is FleetMessage.Suspect -> Unit
         }
     }
 
+    private fun onOtherLoad(message: FleetMessage.OtherLoad) {
+        receiver.onOtherLoad(message.loads)
+        answer(message.answered)
+    }
+
     private fun onNotice(from: VmId, notice: FleetMessage.Notice, now: Long) {
         heardMs = now
         roster.onHeard(from, notice.controls, now)
--- a/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/FleetMessage.kt
+++ b/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/FleetMessage.kt
@@ -51,15 +51,23 @@
     @SerialName("r")
     public data class Servers(val rows: List<BackendRow>) : FleetMessage
 
-    /** Load that the sending entry VM has placed on engines. Engines that are not listed have none. */
+    /**
+     * Load that the sending entry VM has placed on engines. Engines that are not listed have none.
+     *
+     * @param question number of the question what others have placed before this was heard; 0 if nothing is asked.
+     */
     @Serializable
     @SerialName("l")
-    public data class OwnLoad(val loads: List<ServerLoad>) : FleetMessage
+    public data class OwnLoad(val loads: List<ServerLoad>, val question: Long = 0) : FleetMessage
 
-    /** Load that the other entry VMs have placed on engines. Engines that are not listed are as told before. */
+    /**
+     * Load that the other entry VMs have placed on engines. Engines that are not listed are as told before.
+     *
+     * @param answered number of the last question that was heard before; 0 if this answers none.
+     */
     @Serializable
     @SerialName("o")
-    public data class OtherLoad(val loads: List<ServerLoad>) : FleetMessage
+    public data class OtherLoad(val loads: List<ServerLoad>, val answered: Long = 0) : FleetMessage
 
     /** The engine [server] does not answer the sending entry VM. */
     @Serializable
--- a/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/StageBalance.kt
+++ b/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/StageBalance.kt
@@ -62,7 +62,7 @@
         if (changedMs?.let { nowMs - it < paceMs } == true) return null
         val change = toRest(prefills, ready.size, prefill)
             ?: toDecode(prefills, decode, prefill)
-            ?: toPrefill(prefills, decodes, decode, prefill)
+            ?: toPrefill(decodes, decode, prefill)
         return change?.also { note(it, nowMs) }
     }
 
@@ -71,7 +71,7 @@
         changing[change.server.id] = Told(change, nowMs)
     }
 
-    /** Without a prefill engine every prompt pauses the answers beside it, so one is made at once, whatever the load. */
+    /** Without a prefill engine each prompt pauses the answers beside it, so one is made at once whatever the load. */
     private fun firstPrefill(decodes: List<EngineUse>): StageChange? {
         val isComing = changing.values.any { it.change.stage == ServerKind.PREFILL }
         if (isComing || decodes.size < LEAST_FOR_SPLIT) return null
@@ -102,7 +102,6 @@
     }
 
     private fun toPrefill(
-        prefills: List<EngineUse>,
         decodes: List<EngineUse>,
         decode: Double,
         prefill: Double,
--- a/gentiandale-fleet/src/test/kotlin/gentiandale/fleet/FleetNewsTest.kt
+++ b/gentiandale-fleet/src/test/kotlin/gentiandale/fleet/FleetNewsTest.kt
@@ -121,6 +121,26 @@
             assertEquals(listOf(7_000L, 12_000L, 19_000L), entries.map { it.others[ID]?.memoryTokens })
         }
 
+        @Test
+        fun `of two that place at the same moment the second one knows of the first before it goes on`() {
+            run(2_000)
+            val seen = ArrayList<Long?>()
+            entries.take(2).forEach { entry ->
+                entry.ownLoad = listOf(ServerLoad(ID, running = 1, memoryTokens = 7_000))
+                entry.feed.confirmLoad { seen += entry.others[ID]?.memoryTokens }
+            }
+            assertEquals(emptyList(), seen)
+            deliver()
+            assertEquals(listOf(null, 7_000L), seen)
+        }
+
+        @Test
+        fun `without a control VM nothing is waited for`() {
+            var isDone = false
+            entries[0].feed.confirmLoad { isDone = true }
+            assertEquals(true, isDone)
+        }
+
         @Test
         fun `the load of a VM that has vanished is dropped`() {
             run(2_000)
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/Relay.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/Relay.kt
@@ -146,6 +146,18 @@
         override fun onLoadChanged() = scheduleLoadReport()
 
         override fun onSuspect(server: ServerId) = news.onSuspect(server)
+
+        override fun confirmLoad(done: () -> Unit) {
+            var isDone = false
+            val once = {
+                if (!isDone) {
+                    isDone = true
+                    done()
+                }
+            }
+            transport.loop.schedule(once, CONFIRM_MS, TimeUnit.MILLISECONDS)
+            news.confirmLoad(once)
+        }
     }
 
     /** Refuses from now on what can't be finished before the end of [stop]. */
@@ -222,6 +234,9 @@
         const val CONNECTION_SAFETY = 0.8
         const val MIN_CONNECTIONS = 3
 
+        /** Several ways to another data centre and back; a decision doesn't wait longer for what others have placed. */
+        const val CONFIRM_MS = 25L
+
         /** Changes within this time are reported together. */
         const val REPORT_DELAY_MS = 10L
     }
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/RelayEvent.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/RelayEvent.kt
@@ -93,6 +93,20 @@
         }
     }
 
+    /** A generation gives up what it has reserved, since other VMs have taken the same room a moment earlier. */
+    public class Retreated(
+        private val request: String?,
+        private val decode: ServerLoad,
+        private val prefill: ServerLoad?,
+        private val times: Int,
+    ) : RelayEvent("retreated") {
+        override fun describe(line: LogLine) {
+            line.field("request", request).field("decode", decode.id.value).field("running", decode.running)
+                .field("memory_tokens", decode.memoryTokens).field("prefill", prefill?.id?.value)
+                .field("prompt_tokens", prefill?.promptTokens).field("times", times)
+        }
+    }
+
     /**
      * A request has its final answer, or its caller has left.
      *
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/RelayNews.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/RelayNews.kt
@@ -10,6 +10,9 @@
     /** The engine [server] did not answer this VM. */
     public fun onSuspect(server: ServerId)
 
+    /** Tells the load at once, and calls [done] when the load that others had placed before is known, or soon after. */
+    public fun confirmLoad(done: () -> Unit)
+
     /** Holds the usual receivers. */
     public companion object {
         /** Tells nobody. */
@@ -17,6 +20,8 @@
             override fun onLoadChanged() = Unit
 
             override fun onSuspect(server: ServerId) = Unit
+
+            override fun confirmLoad(done: () -> Unit) = done()
         }
     }
 }
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/backend/GenerationMemory.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/backend/GenerationMemory.kt
@@ -26,7 +26,13 @@
     public fun ahead(): List<Int> = ServerLoad.STEPS.map { ((tokens + it) * chanceOf(it)).toInt() }
 
     /** Chance that the answer gets [more] tokens more. */
-    private fun chanceOf(more: Int): Double = if (made + more >= limit) 0.0 else chanceBeyond(made + more) / chanceBeyond(made)
+    private fun chanceOf(more: Int): Double = if (made + more >=
+        limit
+    ) {
+        0.0
+    } else {
+        chanceBeyond(made + more) / chanceBeyond(made)
+    }
 
     /** Log-logistic distribution: lengths scatter by factors around the median. */
     private fun chanceBeyond(tokens: Int): Double = 1 / (1 + (tokens.toDouble() / expected).pow(SHAPE))
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/life/GenerationLife.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/life/GenerationLife.kt
@@ -1,5 +1,6 @@
 package gentiandale.relay.life
 
+import gentiandale.core.ServerId
 import gentiandale.core.ServerKind
 import gentiandale.relay.RelayEvent
 import gentiandale.relay.backend.Backend
@@ -29,6 +30,7 @@
     private val size = context.dialect.size(call.headers) ?: DEFAULT_SIZE
     private val engine = call.rule?.engine
     private val need = GenerationMemory(size.prompt, context.answers.expect(route.name, size), size.answer)
+    private val reading = HeldReading(size.prompt)
     private val room = HeldRoom(need, engine?.tokensPerEvent ?: 1, ::onRoomChanged)
     private var cache: Cache? = null
     private var prefills = 0
@@ -37,6 +39,7 @@
     private var gapTimer: ScheduledFuture<*>? = null
     private var current: Send? = null
     private var rejections = 0
+    private var retreats = 0
     private var eventMs: Long? = null
 
     override var waiting = Waiting(route.urgency, call.request.startMs, call.request.startMs + route.targetMs)
@@ -48,6 +51,7 @@
         gapTimer?.cancel(false)
         context.line.leave(this)
         room.leave()
+        reading.leave()
         cache?.let(::free)
         cache = null
     }
@@ -65,13 +69,30 @@
             is GenerationPlan.NoServer -> giveUp("no decode server")
             is GenerationPlan.Place -> {
                 room.take(plan.decode)
+                reading.take(plan.prefill ?: plan.decode)
                 logReserved(plan, now)
-                if (plan.prefill == null) run(plan.decode) else prefill(plan.prefill)
+                context.news.confirmLoad { if (!isOver) onConfirmed(plan) }
             }
         }
         return true
     }
 
+    /** Goes on as planned, unless others have taken the same room a moment earlier. */
+    private fun onConfirmed(plan: GenerationPlan.Place) {
+        val fits = context.generations.fitsBeside(plan, reading.tokens, engine, context.nowMs())
+        reading.leave()
+        when {
+            !fits && retreats < MAX_RETREATS -> {
+                retreats++
+                context.log.write(RelayEvent.Retreated(call.id, plan.decode.load, plan.prefill?.load, retreats))
+                room.leave()
+                proceed()
+            }
+            plan.prefill == null -> run(plan.decode)
+            else -> prefill(plan.prefill)
+        }
+    }
+
     private fun logReserved(plan: GenerationPlan.Place, now: Long) {
         val waitedMs = now - call.request.startMs
         val prefill = plan.prefill?.row?.id
@@ -195,14 +216,14 @@
 
     /** Runs the request at [kept], or where else there is room; the KV cache lives for a moment only. */
     private fun runWithCache(kept: Backend?) {
-        val now = context.nowMs()
-        val candidates = context.candidates(call.service)
-        val server = kept ?: context.generations.decode(candidates, tried, need, engine, now)
-            ?: return giveUp("no decode server")
+        val server = kept ?: roomiest(tried) ?: return giveUp("no decode server")
         if (server !== room.place) room.take(server)
         run(server)
     }
 
+    private fun roomiest(excluded: Set<ServerId>): Backend? =
+        context.generations.decode(context.candidates(call.service), excluded, need, engine, context.nowMs())
+
     private inner class Run(private val server: Backend, private val source: Cache?) : SendHandler {
         private val splitter = EventSplitter()
         private val before = runState
@@ -309,12 +330,10 @@
             current?.logFailure("not executed: $status")
             if (rejections > MAX_REJECTIONS) return giveUp("rejected by ${server.row.id} with $status")
             server.onFull(context.nowMs())
-            if (source != null && rejections == 1) {
-                // If the server was full, another one takes the KV cache; if that has lapsed, nothing is lost but time.
-                cache = source
-                return runWithCache(null)
-            }
-            restart()
+            // If the server was full, another one takes the KV cache; if that has lapsed, a round trip is lost.
+            val other = source?.takeIf { rejections == 1 }?.let { roomiest(tried + server.row.id) } ?: return restart()
+            cache = source
+            runWithCache(other)
         }
 
         private fun onBad(answer: HttpResponse) {
@@ -371,6 +390,9 @@
         /** Assumed of a request that does not state its size. */
         val DEFAULT_SIZE = GenerationSize(prompt = 1_000, answer = 100, expected = 100)
 
+        /** Places that a request leaves to others; then it takes its chance. */
+        const val MAX_RETREATS = 4
+
         /** Prefill calls of one request before a decode server reads the prompt itself. */
         const val MAX_PREFILLS = 2
 
@@ -381,7 +403,7 @@
         const val READ_PATIENCE = 2.0
 
         /** Longest time that a prefill may take, in milliseconds; its caller waits for the first event. */
-        const val MAX_PREFILL_MS = 1_000L
+        const val MAX_PREFILL_MS = 700L
 
         /** Time for the call itself, in milliseconds: connection, way, and the rest of a step. */
         const val PREFILL_SLACK_MS = 150L
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/life/RequestLife.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/life/RequestLife.kt
@@ -134,7 +134,18 @@
         call.request.body.release()
         val elapsedMs = context.nowMs() - call.request.startMs
         context.log.write(
-            RelayEvent.Ended(call.id, route.name, outcome, status, reason, attempts, elapsedMs, firstMs, lastEvent, gapMs),
+            RelayEvent.Ended(
+                call.id,
+                route.name,
+                outcome,
+                status,
+                reason,
+                attempts,
+                elapsedMs,
+                firstMs,
+                lastEvent,
+                gapMs,
+            ),
         )
         context.stats.onEnded(route.name, route.urgency, outcome, elapsedMs, firstMs)
     }
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/placement/GenerationPlacement.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/placement/GenerationPlacement.kt
@@ -54,9 +54,9 @@
      * prompt waits for them.
      */
     private fun readers(decodes: List<Backend>, need: GenerationMemory, hasPrefill: Boolean): List<Backend> {
-        val isShort = need.tokens <= SHORT_PROMPT_TOKENS
         return decodes.filter {
             val load = it.load
+            val isShort = need.tokens / it.tokensPerMs <= SHORT_READ_MS
             load.promptTokens == 0L && (load.running == 0 || isShort || !hasPrefill)
         }
     }
@@ -73,6 +73,18 @@
         return roomiest(decodes, need, engine) ?: decodes.minByOrNull { it.load.peakTokens }
     }
 
+    /** Returns whether [plan], counted in the loads with [promptTokens] already, fits beside what others have taken. */
+    public fun fitsBeside(
+        plan: GenerationPlan.Place,
+        promptTokens: Int,
+        engine: EngineRule?,
+        nowMs: Long,
+    ): Boolean {
+        val others = (plan.prefill ?: plan.decode).load.promptTokens - promptTokens
+        val limit = if (plan.prefill == null) 0L else MAX_BACKLOG_TOKENS
+        return others <= limit && stillFits(plan.decode, engine, nowMs)
+    }
+
     /** Returns whether [backend], where room is reserved, can still be used at [nowMs]. */
     public fun stillFits(backend: Backend, engine: EngineRule?, nowMs: Long): Boolean {
         val limit = engine?.let { it.memoryTokens * RESERVED_SHARE } ?: Double.MAX_VALUE
@@ -142,7 +154,7 @@
         /** Prompts in a prefill server beyond this would be read too late, and their caches fill its memory. */
         const val MAX_BACKLOG_TOKENS = 20_000L
 
-        /** A decode server reads this in the pause that callers accept between two events. */
-        const val SHORT_PROMPT_TOKENS = 6_000
+        /** A prompt that a decode server reads in this time delays the next event of the others by less than 300 ms. */
+        const val SHORT_READ_MS = 230.0
     }
 }
--- a/gentiandale-relay/src/test/kotlin/gentiandale/relay/placement/GenerationPlacementTest.kt
+++ b/gentiandale-relay/src/test/kotlin/gentiandale/relay/placement/GenerationPlacementTest.kt
@@ -55,6 +55,48 @@
         }
     }
 
+    @Nested
+    inner class Reading {
+        private val busyPrefill = Backend(rowOf("p2", ServerKind.PREFILL)).also {
+            it.onOtherLoad(ServerLoad(it.row.id, running = 7, promptTokens = 35_000))
+        }
+
+        @Test
+        fun `a decode server that reads a prompt gets no second one to read`() {
+            first.onOtherLoad(ServerLoad(first.row.id, running = 2, promptTokens = 5_000, memoryTokens = 9_000))
+            second.onOtherLoad(ServerLoad(second.row.id, running = 3, memoryTokens = 20_000))
+            assertEquals(second, assertIs<GenerationPlan.Place>(plan(first, second)).decode)
+            second.onOtherLoad(ServerLoad(second.row.id, running = 3, promptTokens = 5_000, memoryTokens = 20_000))
+            assertEquals(GenerationPlan.NoRoom, plan(first, second))
+        }
+
+        @Test
+        fun `a short prompt is read beside answers when prefill servers have too much to do, a long one waits`() {
+            first.onOtherLoad(ServerLoad(first.row.id, running = 3, memoryTokens = 20_000))
+            val short = GenerationMemory(promptTokens = 4_000, expected = 3_600, limit = 7_540)
+            val plan = placement.plan(listOf(busyPrefill, first), emptySet(), short, engine, 1)
+            assertNull(assertIs<GenerationPlan.Place>(plan).prefill)
+            val long = GenerationMemory(promptTokens = 9_000, expected = 3_600, limit = 7_540)
+            assertEquals(
+                GenerationPlan.NoRoom,
+                placement.plan(listOf(busyPrefill, first), emptySet(), long, engine, 1),
+            )
+        }
+
+        @Test
+        fun `a reservation that others made too doesn't fit any more`() {
+            val plan = assertIs<GenerationPlan.Place>(plan(prefill, first))
+            first.hold(need)
+            prefill.promptTokens += need.promptTokens
+            assertTrue(placement.fitsBeside(plan, need.promptTokens, engine, 1))
+            first.onOtherLoad(ServerLoad(first.row.id, running = 9, memoryTokens = 70_000))
+            assertTrue(!placement.fitsBeside(plan, need.promptTokens, engine, 1))
+            first.onOtherLoad(ServerLoad(first.row.id))
+            prefill.onOtherLoad(ServerLoad(prefill.row.id, running = 5, promptTokens = 25_000))
+            assertTrue(!placement.fitsBeside(plan, need.promptTokens, engine, 1))
+        }
+    }
+
     @Nested
     inner class LostServers {
         @Test
