Draw what logs tell second by second: gentianctl plot

Cause: the users' engineers have logs and metrics only; a list of lines doesn't show when a burst met a lost server. Ruled out: a plotting library, which would bring a server or scripts; the page is plain HTML with drawings in it, made with kotlinx-html. Conclusion: one page for requests, time to the first part, configuration, servers and changes.

--- a/gentiandale-cli/src/main/kotlin/gentiandale/cli/ControlCommand.kt
+++ b/gentiandale-cli/src/main/kotlin/gentiandale/cli/ControlCommand.kt
@@ -18,6 +18,7 @@
 import gentiandale.cli.command.GetCommand
 import gentiandale.cli.command.HistoryCommand
 import gentiandale.cli.command.IncidentCommand
+import gentiandale.cli.command.PlotCommand
 import gentiandale.cli.command.RequestStoryCommand
 import gentiandale.cli.command.StatusCommand
 import gentiandale.cli.command.VotersCommand
@@ -45,6 +46,7 @@
             VotersCommand(),
             RequestStoryCommand(),
             IncidentCommand(),
+            PlotCommand(),
         )
     }
 
--- a/gentiandale-cli/src/main/kotlin/gentiandale/cli/command/LogCommands.kt
+++ b/gentiandale-cli/src/main/kotlin/gentiandale/cli/command/LogCommands.kt
@@ -5,12 +5,15 @@
 import com.github.ajalt.clikt.core.ProgramResult
 import com.github.ajalt.clikt.parameters.arguments.argument
 import com.github.ajalt.clikt.parameters.arguments.multiple
+import com.github.ajalt.clikt.parameters.options.option
+import com.github.ajalt.clikt.parameters.options.required
 import com.github.ajalt.clikt.parameters.types.file
 import com.github.ajalt.clikt.parameters.types.long
 import gentiandale.cli.ExitCode
 import gentiandale.cli.Table
 import gentiandale.cli.log.LogRecord
 import gentiandale.cli.log.LogStory
+import gentiandale.cli.log.TimelinePage
 import java.io.File
 import java.time.Instant
 
@@ -74,3 +77,24 @@
         echo("\n" + Table(listOf("COUNT", "OUTCOME", "REASON"), rows).render())
     }
 }
+
+/** Draws what the logs tell second by second. */
+internal class PlotCommand : LogCommand(
+    "plot",
+    "Draws requests, times, configuration and servers second by second as an HTML page that needs no server. " +
+        "Reads the log lines of one or many processes.",
+) {
+    private val out by option("--out", help = "Page to write.").file(canBeDir = false).required()
+    private val files by argument(help = "Files with log lines; standard input if none is named.")
+        .file(mustExist = true, canBeDir = false).multiple()
+
+    override fun run() {
+        val timeline = story(files).timeline
+        if (timeline.seconds == 0) {
+            echo("No log line was found.", err = true)
+            throw ProgramResult(ExitCode.REFUSED)
+        }
+        out.writeText(TimelinePage(timeline).render())
+        echo("Wrote ${timeline.seconds} s to $out.")
+    }
+}
--- a/gentiandale-cli/src/main/kotlin/gentiandale/cli/log/LogStory.kt
+++ b/gentiandale-cli/src/main/kotlin/gentiandale/cli/log/LogStory.kt
@@ -4,6 +4,9 @@
 internal class LogStory(lines: Sequence<String>) {
     private val records = lines.mapNotNull(LogRecord::read).sortedBy { it.timeMs }.toList()
 
+    /** What the lines tell second by second. */
+    val timeline: LogTimeline get() = LogTimeline(records)
+
     /**
      * Returns the lines of the request [id], and before each of them what its VM believed of the server that is named
      * in it.
