--- a/gentiandale-relay/src/test/kotlin/gentiandale/relay/FakeServer.kt
+++ b/gentiandale-relay/src/test/kotlin/gentiandale/relay/FakeServer.kt
@@ -9,7 +9,7 @@
 import kotlin.concurrent.thread
 
 /** A request as the bytes of it were read: its head as text and its body. */
-internal class RawRequest(val head: String, val body: String) {
+class RawRequest(val head: String, val body: String) {
     val target: String get() = head.lineSequence().first().split(' ')[1]
 
     fun header(name: String): String? = head.lineSequence().drop(1)
@@ -17,7 +17,7 @@
 }
 
 /** A server on a raw socket. [answer] writes what it likes; it returns false to close the connection. */
-internal class FakeServer(private val answer: (RawRequest, Socket) -> Boolean) : AutoCloseable {
+class FakeServer(private val answer: (RawRequest, Socket) -> Boolean) : AutoCloseable {
     private val listening = ServerSocket(0, BACKLOG, InetAddress.getByName("127.0.0.1"))
     val requests = CopyOnWriteArrayList<RawRequest>()
     val port: Int get() = listening.localPort
@@ -58,6 +58,37 @@
             return true
         }
 
+        /** Writes a whole stream of the events [ids]. */
+        fun stream(socket: Socket, request: RawRequest, ids: IntRange): Boolean {
+            begin(socket, request)
+            ids.forEach { chunk(socket, event(it)) }
+            socket.getOutputStream().write("0\r\n\r\n".toByteArray())
+            return true
+        }
+
+        /** Writes two whole events and a part of the third, and ends the connection. */
+        fun breakOff(socket: Socket, request: RawRequest): Boolean {
+            begin(socket, request)
+            chunk(socket, event(1) + event(2) + "id: 3\nda")
+            return false
+        }
+
+        /** Answers that the request has not run. */
+        fun reject(socket: Socket, request: RawRequest): Boolean =
+            reply(socket, request, "", status = "503 Full", extra = "not-executed: 1\r\n")
+
+        /** Writes the head of a stream. */
+        fun begin(socket: Socket, request: RawRequest) {
+            val id = request.header("id")
+            val head = "HTTP/1.1 200 OK\r\nid: $id\r\nsigned: 1\r\ntransfer-encoding: chunked\r\n\r\n"
+            socket.getOutputStream().write(head.toByteArray())
+        }
+
+        fun chunk(socket: Socket, text: String) =
+            socket.getOutputStream().write("${text.length.toString(16)}\r\n$text\r\n".toByteArray())
+
+        fun event(id: Int): String = "id: $id\ndata: x$id\n\n"
+
         fun readRequest(input: InputStream): RawRequest? {
             val head = readHead(input) ?: return null
             val length = Regex("(?i)content-length: (\\d+)").find(head)?.groupValues?.get(1)?.toInt() ?: 0
--- a/gentiandale-relay/src/test/kotlin/gentiandale/relay/RelayFixture.kt
+++ b/gentiandale-relay/src/test/kotlin/gentiandale/relay/RelayFixture.kt
@@ -17,11 +17,11 @@
 import gentiandale.relay.upstream.Transport
 import java.net.Socket
 
-/** A relay on loopback with its own event loop. */
-internal class RelayFixture(limits: CallerLimits = CallerLimits()) : AutoCloseable {
+/** A relay on loopback with its own event loop. What it decides goes to [log]. */
+class RelayFixture(limits: CallerLimits = CallerLimits(), log: EventLog = EventLog.NONE) : AutoCloseable {
     private val transport = Transport()
-    private val relay = Relay(RelaySettings(HOME, 1.0, 100, 10_000), transport, TestDialect, SystemClock, EventLog.NONE)
-    private val server = CallerServer(transport, SystemClock::monotonicMs, { limits }, relay, EventLog.NONE)
+    private val relay = Relay(RelaySettings(HOME, 1.0, 100, 10_000), transport, TestDialect, SystemClock, log)
+    private val server = CallerServer(transport, SystemClock::monotonicMs, { limits }, relay, log)
     private val servers = ArrayList<FakeServer>()
     val port: Int
 
@@ -96,8 +96,8 @@
     }
 
     /** Sends one request and returns the whole answer. */
-    fun get(target: String, extra: String = ""): String =
-        exchange("GET $target HTTP/1.1\r\nhost: h\r\nid: r1\r\nconnection: close\r\n$extra\r\n")
+    fun get(target: String, extra: String = "", id: String = "r1"): String =
+        exchange("GET $target HTTP/1.1\r\nhost: h\r\nid: $id\r\nconnection: close\r\n$extra\r\n")
 
     override fun close() {
         servers.forEach { it.close() }
--- a/gentiandale-relay/src/test/kotlin/gentiandale/relay/StreamRelayTest.kt
+++ b/gentiandale-relay/src/test/kotlin/gentiandale/relay/StreamRelayTest.kt
@@ -24,7 +24,7 @@
             val prefill = relay.server("p", ServerKind.PREFILL) { request, socket ->
                 FakeServer.reply(socket, request, "h42")
             }
-            val decode = relay.server("d", ServerKind.DECODE) { request, socket -> stream(request, socket, 1..3) }
+            val decode = relay.server("d", ServerKind.DECODE) { request, socket -> FakeServer.stream(socket, request, 1..3) }
             val answer = relay.get("/stream/1")
             assertEquals(listOf("1", "2", "3"), events(answer))
             assertEquals("prefill", prefill.requests.single().header("stage"))
@@ -38,7 +38,7 @@
                 FakeServer.reply(socket, request, "h42")
             }
             val decode = relay.server("d", ServerKind.DECODE) { request, socket ->
-                if (request.header("cache") != null) gone(socket, request) else stream(request, socket, 1..2)
+                if (request.header("cache") != null) FakeServer.reject(socket, request) else FakeServer.stream(socket, request, 1..2)
             }
             assertEquals(listOf("1", "2"), events(relay.get("/stream/1")))
             assertEquals(listOf(true, true, false), decode.requests.map { it.header("cache") != null })
@@ -50,8 +50,8 @@
             val prefill = relay.server("p", ServerKind.PREFILL) { request, socket ->
                 FakeServer.reply(socket, request, "h42")
             }
-            relay.server("d1", ServerKind.DECODE) { request, socket -> gone(socket, request) }
-            val other = relay.server("d2", ServerKind.DECODE) { request, socket -> stream(request, socket, 1..2) }
+            relay.server("d1", ServerKind.DECODE) { request, socket -> FakeServer.reject(socket, request) }
+            val other = relay.server("d2", ServerKind.DECODE) { request, socket -> FakeServer.stream(socket, request, 1..2) }
             relay.otherLoad("d2", memoryTokens = 4_000)
             assertEquals(listOf("1", "2"), events(relay.get("/stream/1")))
             assertEquals("127.0.0.1:${prefill.port}/h42", other.requests.single().header("cache"))
@@ -61,8 +61,8 @@
         @Test
         fun `a reservation gives way to what another VM has placed a moment earlier`() {
             relay.server("p", ServerKind.PREFILL) { request, socket -> FakeServer.reply(socket, request, "h42") }
-            val first = relay.server("d1", ServerKind.DECODE) { request, socket -> stream(request, socket, 1..2) }
-            val second = relay.server("d2", ServerKind.DECODE) { request, socket -> stream(request, socket, 1..2) }
+            val first = relay.server("d1", ServerKind.DECODE) { request, socket -> FakeServer.stream(socket, request, 1..2) }
+            val second = relay.server("d2", ServerKind.DECODE) { request, socket -> FakeServer.stream(socket, request, 1..2) }
             relay.otherLoad("d2", memoryTokens = 4_000)
             relay.onConfirm = { relay.otherLoad("d1", memoryTokens = 10_000) }
             assertEquals(listOf("1", "2"), events(relay.get("/stream/1")))
@@ -76,7 +76,7 @@
                 Thread.sleep(400)
                 FakeServer.reply(socket, request, "h42")
             }
-            relay.server("d", ServerKind.DECODE) { request, socket -> stream(request, socket, 1..2) }
+            relay.server("d", ServerKind.DECODE) { request, socket -> FakeServer.stream(socket, request, 1..2) }
             assertEquals(listOf("1", "2"), events(relay.get("/stream/1")))
             assertEquals(1, prefill.requests.count { !it.target.startsWith("/cache/") })
         }
@@ -84,7 +84,7 @@
         @Test
         fun `a prefill server that fails is replaced by the decode server`() {
             relay.server("p", ServerKind.PREFILL) { _, _ -> false }
-            relay.server("d", ServerKind.DECODE) { request, socket -> stream(request, socket, 1..2) }
+            relay.server("d", ServerKind.DECODE) { request, socket -> FakeServer.stream(socket, request, 1..2) }
             assertEquals(listOf("1", "2"), events(relay.get("/stream/1")))
         }
 
@@ -108,7 +108,7 @@
             val servers = listOf("d1", "d2").map { id ->
                 relay.server(id, ServerKind.DECODE) { request, socket ->
                     val after = request.header("after")?.toInt()
-                    if (after == null) breakOff(request, socket) else stream(request, socket, after + 1..4)
+                    if (after == null) FakeServer.breakOff(socket, request) else FakeServer.stream(socket, request, after + 1..4)
                 }
             }
             val answer = relay.get("/stream/1")
@@ -121,7 +121,7 @@
         fun `events that the caller has are not sent again`() {
             listOf("d1", "d2").forEach { id ->
                 relay.server(id, ServerKind.DECODE) { request, socket ->
-                    if (request.header("after") == null) breakOff(request, socket) else stream(request, socket, 1..4)
+                    if (request.header("after") == null) FakeServer.breakOff(socket, request) else FakeServer.stream(socket, request, 1..4)
                 }
             }
             assertEquals(listOf("1", "2", "3", "4"), events(relay.get("/stream/1")))
@@ -129,7 +129,7 @@
 
         @Test
         fun `a stream that can't go on ends as a visible break`() {
-            relay.server("d1", ServerKind.DECODE) { request, socket -> breakOff(request, socket) }
+            relay.server("d1", ServerKind.DECODE) { request, socket -> FakeServer.breakOff(socket, request) }
             val answer = relay.get("/stream-once/1")
             assertEquals(listOf("1", "2"), events(answer))
             assertFalse(answer.endsWith("0\r\n\r\n"))
@@ -138,10 +138,10 @@
         @Test
         fun `a stream that breaks after a long time still waits for room elsewhere`() {
             relay.server("d1", ServerKind.DECODE) { request, socket ->
-                head(request, socket)
-                chunk(socket, event(1))
+                FakeServer.begin(socket, request)
+                FakeServer.chunk(socket, FakeServer.event(1))
                 Thread.sleep(900)
-                chunk(socket, event(2))
+                FakeServer.chunk(socket, FakeServer.event(2))
                 relay.otherLoad("d1", memoryTokens = 10_000)
                 Thread.sleep(900)
                 false
@@ -149,41 +149,14 @@
             relay.otherLoad("d1", memoryTokens = 0)
             thread(isDaemon = true) {
                 Thread.sleep(500)
-                relay.server("d2", ServerKind.DECODE) { request, socket -> stream(request, socket, 3..4) }
+                relay.server("d2", ServerKind.DECODE) { request, socket -> FakeServer.stream(socket, request, 3..4) }
                 relay.otherLoad("d2", memoryTokens = 10_000)
                 Thread.sleep(1_700)
                 relay.otherLoad("d2", memoryTokens = 0)
             }
             assertEquals(listOf("1", "2", "3", "4"), events(relay.get("/stream-short/1")))
         }
-
-        /** Two whole events and a part of the third. */
-        private fun breakOff(request: RawRequest, socket: Socket): Boolean {
-            head(request, socket)
-            chunk(socket, event(1) + event(2) + "id: 3\nda")
-            return false
-        }
     }
 
-    private fun stream(request: RawRequest, socket: Socket, ids: IntRange): Boolean {
-        head(request, socket)
-        ids.forEach { chunk(socket, event(it)) }
-        socket.getOutputStream().write("0\r\n\r\n".toByteArray())
-        return true
-    }
-
-    private fun head(request: RawRequest, socket: Socket) {
-        val head = "HTTP/1.1 200 OK\r\nid: ${request.header("id")}\r\nsigned: 1\r\ntransfer-encoding: chunked\r\n\r\n"
-        socket.getOutputStream().write(head.toByteArray())
-    }
-
-    private fun chunk(socket: Socket, text: String) =
-        socket.getOutputStream().write("${text.length.toString(16)}\r\n$text\r\n".toByteArray())
-
-    private fun event(id: Int) = "id: $id\ndata: x$id\n\n"
-
-    private fun gone(socket: Socket, request: RawRequest) =
-        FakeServer.reply(socket, request, "", status = "503 Gone", extra = "not-executed: 1\r\n")
-
     private fun events(answer: String) = Regex("data: x(\\d+)\n\n").findAll(answer).map { it.groupValues[1] }.toList()
 }
