--- a/gentiandale-relay/src/test/kotlin/gentiandale/relay/StreamRelayTest.kt
+++ b/gentiandale-relay/src/test/kotlin/gentiandale/relay/StreamRelayTest.kt
@@ -3,7 +3,6 @@
 import gentiandale.core.ServerKind
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Nested
-import java.net.Socket
 import kotlin.concurrent.thread
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -24,7 +23,13 @@
             val prefill = relay.server("p", ServerKind.PREFILL) { request, socket ->
                 FakeServer.reply(socket, request, "h42")
             }
-            val decode = relay.server("d", ServerKind.DECODE) { request, socket -> FakeServer.stream(socket, request, 1..3) }
+            val decode = relay.server("d", ServerKind.DECODE) { request, socket ->
+                FakeServer.stream(
+                    socket,
+                    request,
+                    1..3,
+                )
+            }
             val answer = relay.get("/stream/1")
             assertEquals(listOf("1", "2", "3"), events(answer))
             assertEquals("prefill", prefill.requests.single().header("stage"))
@@ -38,7 +43,13 @@
                 FakeServer.reply(socket, request, "h42")
             }
             val decode = relay.server("d", ServerKind.DECODE) { request, socket ->
-                if (request.header("cache") != null) FakeServer.reject(socket, request) else FakeServer.stream(socket, request, 1..2)
+                if (request.header("cache") !=
+                    null
+                ) {
+                    FakeServer.reject(socket, request)
+                } else {
+                    FakeServer.stream(socket, request, 1..2)
+                }
             }
             assertEquals(listOf("1", "2"), events(relay.get("/stream/1")))
             assertEquals(listOf(true, true, false), decode.requests.map { it.header("cache") != null })
@@ -51,7 +62,13 @@
                 FakeServer.reply(socket, request, "h42")
             }
             relay.server("d1", ServerKind.DECODE) { request, socket -> FakeServer.reject(socket, request) }
-            val other = relay.server("d2", ServerKind.DECODE) { request, socket -> FakeServer.stream(socket, request, 1..2) }
+            val other = relay.server("d2", ServerKind.DECODE) { request, socket ->
+                FakeServer.stream(
+                    socket,
+                    request,
+                    1..2,
+                )
+            }
             relay.otherLoad("d2", memoryTokens = 4_000)
             assertEquals(listOf("1", "2"), events(relay.get("/stream/1")))
             assertEquals("127.0.0.1:${prefill.port}/h42", other.requests.single().header("cache"))
@@ -61,8 +78,20 @@
         @Test
         fun `a reservation gives way to what another VM has placed a moment earlier`() {
             relay.server("p", ServerKind.PREFILL) { request, socket -> FakeServer.reply(socket, request, "h42") }
-            val first = relay.server("d1", ServerKind.DECODE) { request, socket -> FakeServer.stream(socket, request, 1..2) }
-            val second = relay.server("d2", ServerKind.DECODE) { request, socket -> FakeServer.stream(socket, request, 1..2) }
+            val first = relay.server("d1", ServerKind.DECODE) { request, socket ->
+                FakeServer.stream(
+                    socket,
+                    request,
+                    1..2,
+                )
+            }
+            val second = relay.server("d2", ServerKind.DECODE) { request, socket ->
+                FakeServer.stream(
+                    socket,
+                    request,
+                    1..2,
+                )
+            }
             relay.otherLoad("d2", memoryTokens = 4_000)
             relay.onConfirm = { relay.otherLoad("d1", memoryTokens = 10_000) }
             assertEquals(listOf("1", "2"), events(relay.get("/stream/1")))
@@ -108,7 +137,13 @@
             val servers = listOf("d1", "d2").map { id ->
                 relay.server(id, ServerKind.DECODE) { request, socket ->
                     val after = request.header("after")?.toInt()
-                    if (after == null) FakeServer.breakOff(socket, request) else FakeServer.stream(socket, request, after + 1..4)
+                    if (after ==
+                        null
+                    ) {
+                        FakeServer.breakOff(socket, request)
+                    } else {
+                        FakeServer.stream(socket, request, after + 1..4)
+                    }
                 }
             }
             val answer = relay.get("/stream/1")
@@ -121,7 +156,13 @@
         fun `events that the caller has are not sent again`() {
             listOf("d1", "d2").forEach { id ->
                 relay.server(id, ServerKind.DECODE) { request, socket ->
-                    if (request.header("after") == null) FakeServer.breakOff(socket, request) else FakeServer.stream(socket, request, 1..4)
+                    if (request.header("after") ==
+                        null
+                    ) {
+                        FakeServer.breakOff(socket, request)
+                    } else {
+                        FakeServer.stream(socket, request, 1..4)
+                    }
                 }
             }
             assertEquals(listOf("1", "2", "3", "4"), events(relay.get("/stream/1")))
