--- a/gentiandale-cli/src/test/kotlin/gentiandale/cli/log/FaultStoryTest.kt
+++ b/gentiandale-cli/src/test/kotlin/gentiandale/cli/log/FaultStoryTest.kt
@@ -32,10 +32,15 @@
         play(Random(seed))
         val story = LogStory(lines.asSequence())
         faults.forEach { (id, fault) -> check(story.ofRequest(id), id, fault) }
-        val struck = faults.filter { (id, fault) -> places[id]?.let { fault != Fault.SLOW_PREFILL || it == "p" } ?: false }
+        val struck = faults.filter { (id, fault) -> hasStruck(id, fault) }
         assertEquals(Fault.entries.toSet() - Fault.NONE, struck.values.toSet(), "seed $seed leaves out a fault")
     }
 
+    private fun hasStruck(id: String, fault: Fault): Boolean = when (fault) {
+        Fault.SLOW_PREFILL -> places[id] == "p"
+        else -> places[id] != null
+    }
+
     private fun play(random: Random) {
         val log = JsonEventLog("vm", 1, SystemClock) { lines += it }
         RelayFixture(log = log).use { relay ->
@@ -77,7 +82,7 @@
                 val broken = failures.find { it.text("reason") in setOf("closed", "reset") }
                 assertEquals(places[id], broken?.text("server"), text)
             }
-            Fault.SLOW_PREFILL -> if (places[id] == "p") {
+            Fault.SLOW_PREFILL -> if (hasStruck(id, fault)) {
                 val asked = story.first { it.event == PLACED && it.text("step") == "prefill" }
                 val next = story.first { it.timeMs > asked.timeMs && it.event in setOf(PLACED, "relay/send-failed") }
                 assertEquals("p", asked.text("server"), text)
