Say in the placement's comments what it does by now

Cause: the class comment still said that a decode server reads only where no prefill server answers, and the formatter had broken a condition apart. Ruled out: a change of behaviour; the same expressions in another layout. Conclusion: none.

--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/backend/GenerationMemory.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/backend/GenerationMemory.kt
@@ -26,12 +26,9 @@
     public fun ahead(): List<Int> = ServerLoad.STEPS.map { ((tokens + it) * chanceOf(it)).toInt() }
 
     /** Chance that the answer gets [more] tokens more. */
-    private fun chanceOf(more: Int): Double = if (made + more >=
-        limit
-    ) {
-        0.0
-    } else {
-        chanceBeyond(made + more) / chanceBeyond(made)
+    private fun chanceOf(more: Int): Double {
+        val later = made + more
+        return if (later >= limit) 0.0 else chanceBeyond(later) / chanceBeyond(made)
     }
 
     /** Log-logistic distribution: lengths scatter by factors around the median. */
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/placement/GenerationPlacement.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/placement/GenerationPlacement.kt
@@ -27,7 +27,8 @@
  * Chooses engines for generations: a decode server with room for prompt and answer, and the prefill server that has
  * read the prompt first. Room is what all VMs together have not placed yet, so memory is not overbooked: an engine
  * that runs out of memory throws out a running request, and everything that it has read is read again. A decode server
- * reads a prompt itself only where no prefill server answers, since all answers that it makes pause meanwhile.
+ * reads a prompt itself only where no prefill server answers or has time, and one at a time, since all answers that it
+ * makes pause meanwhile.
  */
 public class GenerationPlacement(private val home: DataCentreId, private val random: Random) {
     /** Returns where to run [need] among [candidates] without those in [excluded]. */
@@ -53,15 +54,14 @@
      * answers beside it, and two of them pause those too long. While prefill servers only have too much to do, a long
      * prompt waits for them.
      */
-    private fun readers(decodes: List<Backend>, need: GenerationMemory, hasPrefill: Boolean): List<Backend> {
-        return decodes.filter {
+    private fun readers(decodes: List<Backend>, need: GenerationMemory, hasPrefill: Boolean): List<Backend> =
+        decodes.filter {
             val load = it.load
             val isShort = need.tokens / it.tokensPerMs <= SHORT_READ_MS
             load.promptTokens == 0L && (load.running == 0 || isShort || !hasPrefill)
         }
-    }
 
-    /** Returns a decode server for a prompt that has been read already, the fullest as a last resort, or null. */
+    /** Returns a decode server for a prompt that has been read already, the least full as a last resort, or null. */
     public fun decode(
         candidates: List<Backend>,
         excluded: Set<ServerId>,
