Start a waiting generation once, and keep the line going whatever one member fails with

Cause: a send that failed before its first event left its timer; the timer started the request a second time while it waited in the line. Given back twice, its body was released twice, and the exception left the line marked as busy: that VM placed no generation until its end. Ruled out: the confirmation of reservations (its timer fires), a silent control VM, a comparison in the order. Change: a request that looks anew drops its timer; the line takes a member once, takes it out while it tries, and is free again after an exception. Figures: the new test fails before (no answer for the next request) and passes after.

--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/life/GenerationLife.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/life/GenerationLife.kt
@@ -96,7 +96,7 @@
     private fun logReserved(plan: GenerationPlan.Place, now: Long) {
         val waitedMs = now - call.request.startMs
         val prefill = plan.prefill?.row?.id
-        val ahead = context.line.size - 1
+        val ahead = context.line.size
         context.log.write(RelayEvent.Reserved(call.id, plan.decode.load, prefill, size, need, waitedMs, ahead))
     }
 
@@ -138,6 +138,9 @@
 
     /** Looks for servers anew. */
     private fun restart() {
+        // The send before is over; what it still watches must not start the request once more.
+        gapTimer?.cancel(false)
+        current = null
         room.leave()
         if (begun) waiting = Waiting.ofBrokenStream(context.nowMs(), route.targetMs)
         proceed()
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/life/GenerationLine.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/life/GenerationLine.kt
@@ -28,6 +28,7 @@
 
     /** Lets [member] begin, or wait, or be given back at once. */
     fun enter(member: Member) {
+        if (member in members) return
         if (order.isTooLong(members.size)) return member.giveBack("${members.size} requests wait already")
         members += member
         pump()
@@ -44,20 +45,30 @@
     fun pump() {
         if (isPumping || members.isEmpty()) return
         isPumping = true
-        val now = nowMs()
+        try {
+            pumpOnce(nowMs())
+        } finally {
+            // Whatever one member fails with, the others go on at the next look.
+            isPumping = false
+            if (members.isNotEmpty()) startTimer()
+        }
+    }
+
+    private fun pumpOnce(now: Long) {
         val ordered = members.sortedWith { a, b -> order.comparator(now).compare(a.waiting, b.waiting) }
-        val begun = ordered.takeWhile {
-            it !in members ||
-                it.tryBegin().also { begun ->
-                    if (begun) members -= it
-                }
-        }.size
+        val begun = ordered.takeWhile { it !in members || begins(it) }.size
         ordered.drop(begun).filter { it in members && order.isHopeless(it.waiting, now) }.forEach {
             members -= it
             it.giveBack("no room in time")
         }
-        isPumping = false
-        if (members.isNotEmpty()) startTimer()
+    }
+
+    /** Takes [member] out of the line while it tries, since it may come back at once. */
+    private fun begins(member: Member): Boolean {
+        members -= member
+        val begun = member.tryBegin()
+        if (!begun) members += member
+        return begun
     }
 
     private fun startTimer() {
--- a/gentiandale-relay/src/test/kotlin/gentiandale/relay/StreamRelayTest.kt
+++ b/gentiandale-relay/src/test/kotlin/gentiandale/relay/StreamRelayTest.kt
@@ -176,6 +176,17 @@
             assertFalse(answer.endsWith("0\r\n\r\n"))
         }
 
+        @Test
+        fun `a request that failed and waits is given back once, and the requests after it still get room`() {
+            relay.server("d1", ServerKind.DECODE) { _, _ -> false }
+            relay.server("d2", ServerKind.DECODE) { request, socket -> FakeServer.stream(socket, request, 1..2) }
+            relay.otherLoad("d2", memoryTokens = 10_000)
+            val head = "POST /stream-short/1 HTTP/1.1\r\nhost: h\r\nid: r1\r\nconnection: close\r\n"
+            assertTrue(relay.exchange("${head}content-length: 4\r\n\r\nbody").startsWith("HTTP/1.1 502"))
+            relay.otherLoad("d2", memoryTokens = 0)
+            assertEquals(listOf("1", "2"), events(relay.get("/stream-short/2", id = "r2")))
+        }
+
         @Test
         fun `a stream that breaks after a long time still waits for room elsewhere`() {
             relay.server("d1", ServerKind.DECODE) { request, socket ->
