--- a/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/EntryFeed.kt
+++ b/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/EntryFeed.kt
@@ -54,9 +54,9 @@
     private var reportedTo: VmId? = null
     private var reportedAny = false
     private var questions = 0L
-    private val waiting = ArrayList<Waiting>()
+    private val open = ArrayList<Question>()
 
-    private class Waiting(val question: Long, val done: () -> Unit)
+    private class Question(val number: Long, val done: () -> Unit)
 
     /** Time in milliseconds since a control VM was heard last; null if none ever was. */
     public val ageMs: Long? get() = heardMs?.let { clock.monotonicMs() - it }
@@ -84,14 +84,14 @@
      */
     public fun confirmLoad(done: () -> Unit) {
         questions++
-        waiting += Waiting(questions, done)
+        open += Question(questions, done)
         reportLoad(questions)
         if (reportedTo == null) answer(questions)
     }
 
     private fun answer(question: Long) {
-        val answered = waiting.filter { it.question <= question }
-        waiting -= answered.toSet()
+        val answered = open.filter { it.number <= question }
+        open -= answered.toSet()
         answered.forEach { it.done() }
     }
 
--- a/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/StageBalance.kt
+++ b/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/StageBalance.kt
@@ -52,7 +52,7 @@
         val ready = engines.filter { it.row.state == BackendState.READY && !it.row.silent && it.row.id !in changing }
         val (prefills, decodes) = ready.partition { it.row.kind == ServerKind.PREFILL }
         if (decodes.isEmpty()) return null
-        if (prefills.isEmpty()) return firstPrefill(decodes)?.also { note(it, nowMs) }
+        if (prefills.isEmpty()) return firstPrefill(decodes)?.also { remember(it, nowMs) }
         val decode = decodeUse.add(decodes.sumOf { it.load.memoryTokens.toDouble() / it.memoryTokens } / decodes.size)
         val reading = prefills.count { it.load.promptTokens > 0 }.toDouble()
         val prefill = prefillUse.add(reading / prefills.size.coerceAtLeast(1))
@@ -63,10 +63,10 @@
         val change = toRest(prefills, ready.size, prefill)
             ?: toDecode(prefills, decode, prefill)
             ?: toPrefill(decodes, decode, prefill)
-        return change?.also { note(it, nowMs) }
+        return change?.also { remember(it, nowMs) }
     }
 
-    private fun note(change: StageChange, nowMs: Long) {
+    private fun remember(change: StageChange, nowMs: Long) {
         changedMs = nowMs
         changing[change.server.id] = Told(change, nowMs)
     }
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/RelayEvent.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/RelayEvent.kt
@@ -93,13 +93,13 @@
         }
     }
 
-    /** A generation gives up what it has reserved, since other VMs have taken the same room a moment earlier. */
-    public class Retreated(
+    /** A generation drops its reservation, since other VMs have reserved the same room a moment earlier. */
+    public class ReservationConflict(
         private val request: String?,
         private val decode: ServerLoad,
         private val prefill: ServerLoad?,
         private val times: Int,
-    ) : RelayEvent("retreated") {
+    ) : RelayEvent("reservation-conflict") {
         override fun describe(line: LogLine) {
             line.field("request", request).field("decode", decode.id.value).field("running", decode.running)
                 .field("memory_tokens", decode.memoryTokens).field("prefill", prefill?.id?.value)
--- /dev/null
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/life/AnswerProgress.kt
@@ -0,0 +1,31 @@
+package gentiandale.relay.life
+
+/**
+ * How far an answer has come, as its caller sees it.
+ *
+ * @param startMs monotonic time in milliseconds at which the request arrived.
+ * @param lastEvent id of the last event that the caller had before, or null.
+ */
+internal class AnswerProgress(private val startMs: Long, lastEvent: String?) {
+    private var partMs: Long? = null
+
+    /** Id of the last event that the caller has, or null. */
+    var lastEvent: String? = lastEvent
+        private set
+
+    /** Time in milliseconds from the request to the first part of its answer; null before. */
+    var firstMs: Long? = null
+        private set
+
+    /** Longest pause between two parts in milliseconds; null before the second. */
+    var gapMs: Long? = null
+        private set
+
+    /** Notes a part of the answer at [nowMs], the event [event] if it has an id. */
+    fun onPart(nowMs: Long, event: Long? = null) {
+        val before = partMs
+        if (before == null) firstMs = nowMs - startMs else gapMs = maxOf(gapMs ?: 0, nowMs - before)
+        partMs = nowMs
+        event?.let { lastEvent = it.toString() }
+    }
+}
--- /dev/null
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/life/CallerStream.kt
@@ -0,0 +1,46 @@
+package gentiandale.relay.life
+
+import gentiandale.relay.caller.CallerReply
+import io.netty.buffer.ByteBuf
+import io.netty.handler.codec.http.HttpResponse
+
+/** Stream of events to a caller, made by one server or by several in turn. Each event is passed on once. */
+internal class CallerStream(
+    private val reply: CallerReply,
+    private val progress: AnswerProgress,
+    private val nowMs: () -> Long,
+) {
+    private var lastNumber: Long? = progress.lastEvent?.toLongOrNull()
+
+    /** Whether a part has left. It has the head of the first server. */
+    var hasBegun = false
+        private set
+
+    /** Whether the caller has [event]: a server that resumes a stream may begin with such events. */
+    fun knows(event: StreamEvent): Boolean {
+        val id = event.id ?: return false
+        return lastNumber?.let { id <= it } ?: false
+    }
+
+    /** Passes on [event] of the answer that begins with [head]. */
+    fun pass(event: StreamEvent, head: HttpResponse) {
+        begin(head)
+        event.id?.let { lastNumber = it }
+        progress.onPart(nowMs(), event.id)
+        reply.part(event.bytes)
+    }
+
+    /** Ends the answer that began with [head], with the bytes [rest] after the last event. */
+    fun end(rest: ByteBuf, head: HttpResponse) {
+        if (!hasBegun) progress.onPart(nowMs())
+        begin(head)
+        if (rest.isReadable) reply.part(rest) else rest.release()
+        reply.end()
+    }
+
+    private fun begin(head: HttpResponse) {
+        if (hasBegun) return
+        hasBegun = true
+        reply.begin(head.status().code(), head.headers().endToEnd())
+    }
+}
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/life/GenerationLife.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/life/GenerationLife.kt
@@ -8,13 +8,10 @@
 import gentiandale.relay.placement.GenerationPlan
 import gentiandale.relay.placement.Waiting
 import gentiandale.relay.routing.Repetition
-import gentiandale.relay.upstream.AnswerListener
 import gentiandale.relay.upstream.GenerationSize
 import gentiandale.relay.upstream.SendFailure
 import io.netty.buffer.ByteBuf
-import io.netty.buffer.Unpooled
 import io.netty.handler.codec.http.FullHttpRequest
-import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpStatusClass
 import io.netty.util.concurrent.ScheduledFuture
@@ -24,35 +21,33 @@
 internal class GenerationLife(call: Call, context: RelayContext) :
     RequestLife(call, context),
     GenerationLine.Member,
-    PrefillCall.Outcome {
-    private class Cache(val server: Backend, val handle: String)
-
+    PrefillCall.Outcome,
+    GenerationRun.Owner {
     private val size = context.dialect.size(call.headers) ?: DEFAULT_SIZE
     private val engine = call.rule?.engine
     private val need = GenerationMemory(size.prompt, context.answers.expect(route.name, size), size.answer)
     private val reading = HeldReading(size.prompt)
     private val room = HeldRoom(need, engine?.tokensPerEvent ?: 1, ::onRoomChanged)
-    private var cache: Cache? = null
+    private val stream = CallerStream(call.reply, progress, context.nowMs)
+    private var cache: KvCache? = null
     private var prefills = 0
-    private var begun = false
-    private var lastNumber: Long? = lastEvent?.toLongOrNull()
     private var gapTimer: ScheduledFuture<*>? = null
     private var current: Send? = null
     private var rejections = 0
-    private var retreats = 0
-    private var eventMs: Long? = null
+    private var conflicts = 0
+    private var stateBeforeRun = runState
 
     override var waiting = Waiting(route.urgency, call.request.startMs, call.request.startMs + route.targetMs)
         private set
 
-    override fun hasBegun(): Boolean = begun
+    override fun hasBegun(): Boolean = stream.hasBegun
 
     override fun release() {
         gapTimer?.cancel(false)
         context.line.leave(this)
         room.leave()
         reading.leave()
-        cache?.let(::free)
+        cache?.release(context)
         cache = null
     }
 
@@ -82,9 +77,11 @@
         val fits = context.generations.fitsBeside(plan, reading.tokens, engine, context.nowMs())
         reading.leave()
         when {
-            !fits && retreats < MAX_RETREATS -> {
-                retreats++
-                context.log.write(RelayEvent.Retreated(call.id, plan.decode.load, plan.prefill?.load, retreats))
+            !fits && conflicts < MAX_CONFLICTS -> {
+                conflicts++
+                context.log.write(
+                    RelayEvent.ReservationConflict(call.id, plan.decode.load, plan.prefill?.load, conflicts),
+                )
                 room.leave()
                 proceed()
             }
@@ -110,7 +107,7 @@
     }
 
     private fun giveUp(reason: String) {
-        if (runState == RunState.NOT_RUN && !begun) refuse(reason, RETRY_MS) else fail(reason)
+        if (runState == RunState.NOT_RUN && !stream.hasBegun) refuse(reason, RETRY_MS) else fail(reason)
     }
 
     private fun prefill(server: Backend) {
@@ -127,7 +124,7 @@
 
     /** Looks elsewhere if a prefill server has not read the prompt when all prompts told of it could have been read. */
     private fun watchPrefill(send: Send, waitedMs: Long) {
-        val allReadMs = context.generations.readMs(send.server, 0) * READ_PATIENCE
+        val allReadMs = context.generations.readMs(send.server, 0) * READ_TIMEOUT_FACTOR
         val limitMs = (allReadMs.toLong() + PREFILL_SLACK_MS).coerceAtMost(MAX_PREFILL_MS)
         if (limitMs > waitedMs) return send.onSilence(limitMs - waitedMs) { watchPrefill(send, limitMs) }
         send.failed("no KV cache in $waitedMs ms")
@@ -142,7 +139,7 @@
         gapTimer?.cancel(false)
         current = null
         room.leave()
-        if (begun) waiting = Waiting.ofBrokenStream(context.nowMs(), route.targetMs)
+        if (stream.hasBegun) waiting = Waiting.ofBrokenStream(context.nowMs(), route.targetMs)
         proceed()
     }
 
@@ -152,10 +149,21 @@
         if (!takeBudget()) return giveUp("the retry budget is spent")
         val source = cache
         cache = null
-        val send = send(server, if (source == null) "run" else "decode", Long.MAX_VALUE, Run(server, source))
+        val send = send(
+            server,
+            if (source ==
+                null
+            ) {
+                "run"
+            } else {
+                "decode"
+            },
+            Long.MAX_VALUE,
+            GenerationRun(server, source, size.prompt, stream, context, this),
+        )
         current = send
         val readMs = if (source == null) context.generations.readMs(server, size.prompt) else 0.0
-        watch(send, (readMs * READ_PATIENCE).toLong() + FIRST_EVENT_SLACK_MS, 0)
+        watch(send, (readMs * READ_TIMEOUT_FACTOR).toLong() + FIRST_EVENT_SLACK_MS, 0)
     }
 
     /** Moves the request to another server if [send] shows no event for [delayMs] milliseconds. */
@@ -177,29 +185,8 @@
         restart()
     }
 
-    private fun noteGap() {
-        val now = context.nowMs()
-        eventMs?.let { gapMs = maxOf(gapMs ?: 0, now - it) }
-        eventMs = now
-    }
-
-    private fun free(unused: Cache) {
-        val listener = object : AnswerListener {
-            override fun onConnected(): FullHttpRequest = context.dialect.releaseCache(unused.handle)
-
-            override fun onHead(head: HttpResponse) = Unit
-
-            override fun onContent(content: ByteBuf) = Unit
-
-            override fun onEnd() = Unit
-
-            override fun onFailure(failure: SendFailure) = Unit
-        }
-        context.upstreams.send(unused.server, null, Long.MAX_VALUE, listener)
-    }
-
     override fun onCache(server: Backend, handle: String) {
-        cache = Cache(server, handle)
+        cache = KvCache(server, handle, call.id)
         // VMs that reserve at the same moment don't see each other; by now they do.
         runWithCache(room.place?.takeIf { context.generations.stillFits(it, engine, context.nowMs()) })
     }
@@ -227,174 +214,78 @@
     private fun roomiest(excluded: Set<ServerId>): Backend? =
         context.generations.decode(context.candidates(call.service), excluded, need, engine, context.nowMs())
 
-    private inner class Run(private val server: Backend, private val source: Cache?) : SendHandler {
-        private val splitter = EventSplitter()
-        private val before = runState
-        private var head: HttpResponse? = null
-        private var failureBody: ByteBuf = Unpooled.EMPTY_BUFFER
-        private var isReading = source == null
-        private var sentMs = context.nowMs()
-
-        init {
-            if (isReading) server.promptTokens += size.prompt
-        }
-
-        override fun request(): FullHttpRequest {
-            attempts++
-            sentMs = context.nowMs()
-            onBudgetedSend()
-            runState = RunState.MAY_HAVE_RUN
-            return outbound(server) { headers ->
-                source?.let { context.dialect.offerCache(headers, it.server.row.address, it.handle) }
-                lastEvent?.let { context.dialect.resumeAfter(headers, it) }
-            }
-        }
-
-        private fun stopReading() {
-            if (!isReading) return
-            isReading = false
-            server.promptTokens -= size.prompt
-            context.news.onLoadChanged()
-        }
-
-        override fun onHead(head: HttpResponse) {
-            this.head = head
-        }
-
-        override fun onContent(content: ByteBuf) {
-            val answer = head ?: return
-            if (isStream(answer)) {
-                if (isReading) server.onPromptRead(size.prompt.toLong(), context.nowMs() - sentMs)
-                stopReading()
-                splitter.feed(content).forEach(::pass)
-            } else if (failureBody.readableBytes() < MAX_SMALL_BYTES) {
-                failureBody = Unpooled.wrappedBuffer(failureBody, content.retain())
-            }
-        }
-
-        private fun pass(event: StreamEvent) {
-            if (isOver || isKnown(event)) {
-                event.bytes.release()
-                return
-            }
-            begin()
-            event.id?.let {
-                lastNumber = it
-                lastEvent = it.toString()
-            }
-            room.onEvent()
-            noteGap()
-            call.reply.part(event.bytes)
-            current?.let { watch(it, EVENT_GAP_MS, 0) }
-        }
+    override val hasEnded: Boolean get() = isOver
 
-        /** A server that resumes a stream may begin with events that the caller has. */
-        private fun isKnown(event: StreamEvent): Boolean {
-            val id = event.id ?: return false
-            return lastNumber?.let { id <= it } ?: false
+    override fun begin(run: GenerationRun): FullHttpRequest {
+        attempts++
+        onBudgetedSend()
+        stateBeforeRun = runState
+        runState = RunState.MAY_HAVE_RUN
+        return outbound(run.server) { headers ->
+            run.source?.let { context.dialect.offerCache(headers, it.server.row.address, it.handle) }
+            progress.lastEvent?.let { context.dialect.resumeAfter(headers, it) }
         }
+    }
 
-        private fun begin() {
-            val answer = head ?: return
-            if (begun) return
-            begun = true
-            firstMs = context.nowMs() - call.request.startMs
-            call.reply.begin(answer.status().code(), answer.headers().endToEnd())
-        }
+    override fun onEvent() {
+        room.onEvent()
+        current?.let { watch(it, EVENT_GAP_MS, 0) }
+    }
 
-        override fun onEnd() {
-            stopReading()
-            val answer = head ?: return
-            if (isStream(answer)) {
-                begin()
-                val rest = splitter.takeRest()
-                if (rest.isReadable) call.reply.part(rest) else rest.release()
-                call.reply.end()
-                context.answers.observe(route.name, need.made)
-                return finish("answered", answer.status().code())
-            }
-            val status = answer.status()
-            if (context.dialect.isNotExecuted(
-                    status.code(),
-                    answer.headers(),
-                )
-            ) {
-                onRejected(status.code())
-            } else {
-                onBad(answer)
-            }
-        }
+    override fun onStreamed(status: Int) {
+        context.answers.observe(route.name, need.made)
+        finish("answered", status)
+    }
 
-        private fun onRejected(status: Int) {
-            failureBody.release()
-            runState = before
-            attempts--
-            rejections++
-            current?.logFailure("not executed: $status")
-            if (rejections > MAX_REJECTIONS) return giveUp("rejected by ${server.row.id} with $status")
-            server.onFull(context.nowMs())
-            // If the server was full, another one takes the KV cache; if that has lapsed, a round trip is lost.
-            val other = source?.takeIf { rejections == 1 }?.let { roomiest(tried + server.row.id) } ?: return restart()
-            cache = source
-            runWithCache(other)
-        }
+    override fun onRejected(run: GenerationRun, status: Int) {
+        runState = stateBeforeRun
+        attempts--
+        rejections++
+        current?.logFailure("not executed: $status")
+        val server = run.server
+        if (rejections > MAX_REJECTIONS) return giveUp("rejected by ${server.row.id} with $status")
+        server.onFull(context.nowMs())
+        // If the server was full, another one takes the KV cache; if that has lapsed, a round trip is lost.
+        val other = run.source?.takeIf { rejections == 1 }?.let { roomiest(tried + server.row.id) } ?: return restart()
+        cache = run.source
+        runWithCache(other)
+    }
 
-        private fun onBad(answer: HttpResponse) {
-            val status = answer.status()
-            current?.failed("answer ${status.code()}")
-            tried += server.row.id
-            when {
-                status.codeClass() != HttpStatusClass.CLIENT_ERROR && canRepeat() -> restart()
-                begun || !isPassable(answer) -> fail("answer ${status.code()} of ${server.row.id}")
-                else -> {
-                    call.reply.answer(status.code(), answer.headers().endToEnd(), failureBody.retain())
-                    finish("answered", status.code())
-                }
+    override fun onBadAnswer(run: GenerationRun, head: HttpResponse, body: ByteBuf) {
+        val status = head.status()
+        val isSuccess = status.codeClass() == HttpStatusClass.SUCCESS
+        current?.failed("answer ${status.code()}")
+        tried += run.server.row.id
+        when {
+            status.codeClass() != HttpStatusClass.CLIENT_ERROR && canRepeat() -> restart()
+            stream.hasBegun || isSuccess || !isPassable(head) -> fail("answer ${status.code()} of ${run.server.row.id}")
+            else -> {
+                call.reply.answer(status.code(), head.headers().endToEnd(), body.retain())
+                finish("answered", status.code())
             }
-            failureBody.release()
-        }
-
-        override fun onDropped() {
-            stopReading()
-            splitter.clear()
-            failureBody.release()
         }
+    }
 
-        override fun onFailure(failure: SendFailure) {
-            onDropped()
-            tried += server.row.id
-            when {
-                failure is SendFailure.NotSent && source != null -> {
-                    cache = source
-                    runWithCache(null)
-                }
-                failure is SendFailure.NotSent || canRepeat() -> restart()
-                else -> fail(failure.reason)
+    override fun onRunFailed(run: GenerationRun, failure: SendFailure) {
+        tried += run.server.row.id
+        when {
+            failure is SendFailure.NotSent && run.source != null -> {
+                cache = run.source
+                runWithCache(null)
             }
+            failure is SendFailure.NotSent || canRepeat() -> restart()
+            else -> fail(failure.reason)
         }
-
-        /** Whether a failure can be passed on as it is: one that promises too much can't. */
-        private fun isPassable(answer: HttpResponse): Boolean {
-            val status = answer.status()
-            val promises = status.code() in PROMISES && route.repetition == Repetition.AT_MOST_ONCE
-            val encoded = answer.headers().contains(HttpHeaderNames.CONTENT_ENCODING)
-            return status.codeClass() != HttpStatusClass.SUCCESS && !promises && !encoded
-        }
-
-        private fun canRepeat() = mayRepeat() && context.budgetOf(call.service).left(context.nowMs()) > 0
-
-        private fun isStream(answer: HttpResponse): Boolean =
-            answer.status().codeClass() == HttpStatusClass.SUCCESS &&
-                context.dialect.isSigned(answer.headers()) &&
-                !answer.headers().contains(HttpHeaderNames.CONTENT_ENCODING)
     }
 
+    private fun canRepeat() = mayRepeat() && context.budgetOf(call.service).left(context.nowMs()) > 0
+
     private companion object {
         /** Assumed of a request that does not state its size. */
         val DEFAULT_SIZE = GenerationSize(prompt = 1_000, answer = 100, expected = 100)
 
         /** Places that a request leaves to others; then it takes its chance. */
-        const val MAX_RETREATS = 4
+        const val MAX_CONFLICTS = 4
 
         /** Prefill calls of one request before a decode server reads the prompt itself. */
         const val MAX_PREFILLS = 2
@@ -403,7 +294,7 @@
         const val MAX_REJECTIONS = 4
 
         /** A prompt that takes this many times as long as expected is not waited for. */
-        const val READ_PATIENCE = 2.0
+        const val READ_TIMEOUT_FACTOR = 2.0
 
         /** Longest time that a prefill may take, in milliseconds; its caller waits for the first event. */
         const val MAX_PREFILL_MS = 700L
@@ -420,13 +311,7 @@
         /** A caller gives up after a little more than this. */
         const val MAX_GAP_MS = 2_200L
 
-        /** Answers to prefills and failures are small. */
-        const val MAX_SMALL_BYTES = 65_536
-
         /** Time in which an engine finishes a few requests. */
         const val RETRY_MS = 1_000L
-
-        /** Statuses that promise that the request has not run. */
-        val PROMISES = setOf(408, 421, 429, 503)
     }
 }
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/life/GenerationLine.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/life/GenerationLine.kt
@@ -57,7 +57,7 @@
     private fun pumpOnce(now: Long) {
         val ordered = members.sortedWith { a, b -> order.comparator(now).compare(a.waiting, b.waiting) }
         val begun = ordered.takeWhile { it !in members || begins(it) }.size
-        ordered.drop(begun).filter { it in members && order.isHopeless(it.waiting, now) }.forEach {
+        ordered.drop(begun).filter { it in members && order.willBeAbandoned(it.waiting, now) }.forEach {
             members -= it
             it.giveBack("no room in time")
         }
--- /dev/null
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/life/KvCache.kt
@@ -0,0 +1,34 @@
+package gentiandale.relay.life
+
+import gentiandale.relay.RelayEvent
+import gentiandale.relay.backend.Backend
+import gentiandale.relay.upstream.AnswerListener
+import gentiandale.relay.upstream.SendFailure
+import io.netty.buffer.ByteBuf
+import io.netty.handler.codec.http.FullHttpRequest
+import io.netty.handler.codec.http.HttpResponse
+
+/** KV cache of the prompt of [request] that [server] keeps under [handle] for a moment. */
+internal class KvCache(val server: Backend, val handle: String, private val request: String?) {
+    /** Frees the memory that nobody will use; if that fails, the cache lapses by itself. */
+    fun release(context: RelayContext) {
+        val startMs = context.nowMs()
+        val listener = object : AnswerListener {
+            override fun onConnected(): FullHttpRequest = context.dialect.releaseCache(handle)
+
+            override fun onHead(head: HttpResponse) = Unit
+
+            override fun onContent(content: ByteBuf) = Unit
+
+            override fun onEnd() = Unit
+
+            override fun onFailure(failure: SendFailure) {
+                val elapsedMs = context.nowMs() - startMs
+                context.log.write(
+                    RelayEvent.SendFailed(request, "release", server.row.id, failure.reason, elapsedMs),
+                )
+            }
+        }
+        context.upstreams.send(server, null, Long.MAX_VALUE, listener)
+    }
+}
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/life/PlainLife.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/life/PlainLife.kt
@@ -7,7 +7,6 @@
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
 import io.netty.handler.codec.http.FullHttpRequest
-import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpStatusClass
 
@@ -15,6 +14,7 @@
 internal class PlainLife(call: Call, context: RelayContext) : RequestLife(call, context) {
     private var begun = false
     private var unsentFailures = 0
+    private var attempt: Send? = null
 
     override fun hasBegun(): Boolean = begun
 
@@ -31,8 +31,6 @@
         attempt = send
     }
 
-    private var attempt: Send? = null
-
     /** The server has not answered for long; another one may. */
     private fun onHang(send: Send) {
         if (!mayRepeat() || context.budgetOf(call.service).left(context.nowMs()) <= 0) return
@@ -77,7 +75,7 @@
             }
             if (context.dialect.isNotExecuted(status, answer.headers())) return onRejected(status)
             if (!isFinal()) return onBadAnswer(status)
-            firstMs = context.nowMs() - call.request.startMs
+            progress.onPart(context.nowMs())
             call.reply.answer(status, answer.headers().endToEnd(), body)
             finish("answered", status)
         }
@@ -140,17 +138,10 @@
             return !failed || !mayRepeat()
         }
 
-        private fun isPassable(answer: HttpResponse): Boolean {
-            val status = answer.status()
-            val signed = status.codeClass() != HttpStatusClass.SUCCESS || context.dialect.isSigned(answer.headers())
-            val promises = status.code() in PROMISES && route.repetition == Repetition.AT_MOST_ONCE
-            return signed && !promises && !answer.headers().contains(HttpHeaderNames.CONTENT_ENCODING)
-        }
-
         private fun passOn() {
             val answer = head ?: return
             begun = true
-            firstMs = context.nowMs() - call.request.startMs
+            progress.onPart(context.nowMs())
             call.reply.begin(answer.status().code(), answer.headers().endToEnd())
             call.reply.part(body)
             body = Unpooled.EMPTY_BUFFER
@@ -161,7 +152,7 @@
         /** A connection that has rested for longer may be closing at the server; a request on it could be lost. */
         const val FRESH_IDLE_MS = 1_000L
 
-        /** Several times the work of a plain call; most of its worth is lost by then. */
+        /** Several times the work of a plain call; its target is missed by then. */
         const val HANG_MS = 150L
 
         /** Larger answers are passed on while they arrive. */
@@ -178,8 +169,5 @@
 
         /** Time in which a full server has places again. */
         const val FULL_RETRY_MS = 100L
-
-        /** Statuses that promise that the request has not run. */
-        val PROMISES = setOf(408, 421, 429, 503)
     }
 }
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/life/RequestLife.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/life/RequestLife.kt
@@ -17,6 +17,7 @@
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpStatusClass
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.util.concurrent.ScheduledFuture
 import java.util.concurrent.TimeUnit
@@ -41,13 +42,7 @@
     protected var attempts = 0
     protected var isOver = false
         private set
-    protected var firstMs: Long? = null
-
-    /** Longest pause between two parts of the answer, in milliseconds. */
-    protected var gapMs: Long? = null
-
-    /** Id of the last event that the caller has. */
-    protected var lastEvent: String? = context.dialect.lastEventId(call.headers)
+    protected val progress = AnswerProgress(call.request.startMs, context.dialect.lastEventId(call.headers))
     private var lastReason: String? = null
     private var sends = 0
     private var endTimer: ScheduledFuture<*>? = null
@@ -142,18 +137,26 @@
                 reason,
                 attempts,
                 elapsedMs,
-                firstMs,
-                lastEvent,
-                gapMs,
+                progress.firstMs,
+                progress.lastEvent,
+                progress.gapMs,
             ),
         )
-        context.stats.onEnded(route.name, route.urgency, outcome, elapsedMs, firstMs)
+        context.stats.onEnded(route.name, route.urgency, outcome, elapsedMs, progress.firstMs)
     }
 
     /** Whether the request may be sent to one more server after one may have begun it. */
     protected fun mayRepeat(): Boolean =
         (runState == RunState.NOT_RUN || route.repetition != Repetition.AT_MOST_ONCE) && attempts < route.maxAttempts
 
+    /** Whether an answer that is no stream can be passed on as it is: one that promises too much can't. */
+    protected fun isPassable(answer: HttpResponse): Boolean {
+        val status = answer.status()
+        val signed = status.codeClass() != HttpStatusClass.SUCCESS || context.dialect.isSigned(answer.headers())
+        val promises = status.code() in PROMISES && route.repetition == Repetition.AT_MOST_ONCE
+        return signed && !promises && !answer.headers().contains(HttpHeaderNames.CONTENT_ENCODING)
+    }
+
     /** Takes one repeated send from the budget that all VMs share; the first send is free. */
     protected fun takeBudget(): Boolean {
         if (sends == 0) return true
@@ -295,5 +298,8 @@
         const val BAD_GATEWAY = 502
         const val GATEWAY_TIMEOUT = 504
         const val MS_PER_S = 1_000.0
+
+        /** Statuses that promise that the request has not run. */
+        val PROMISES = setOf(408, 421, 429, 503)
     }
 }
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/placement/WaitingOrder.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/placement/WaitingOrder.kt
@@ -5,7 +5,7 @@
  *
  * @param urgency 0 is the most urgent.
  * @param startMs monotonic time in milliseconds at which it arrived.
- * @param dueMs monotonic time in milliseconds until which its first event is worth most.
+ * @param dueMs monotonic time in milliseconds until which its first event is in time.
  */
 public class Waiting(public val urgency: Int, public val startMs: Long, public val dueMs: Long) {
     /** Makes entries for other cases than a new request. */
@@ -34,9 +34,9 @@
     public fun isTooLong(ahead: Int): Boolean = ahead >= MAX_WAITING
 
     /** Returns whether the caller of [waiting] will have left before the first event, so that it is given back now. */
-    public fun isHopeless(waiting: Waiting, nowMs: Long): Boolean {
-        val patienceMs = ((waiting.dueMs - waiting.startMs) * PATIENCE).toLong().coerceAtLeast(LEAST_PATIENCE_MS)
-        return nowMs - waiting.startMs > patienceMs
+    public fun willBeAbandoned(waiting: Waiting, nowMs: Long): Boolean {
+        val waitMs = ((waiting.dueMs - waiting.startMs) * ABANDON_FACTOR).toLong().coerceAtLeast(LEAST_WAIT_MS)
+        return nowMs - waiting.startMs > waitMs
     }
 
     private companion object {
@@ -47,7 +47,7 @@
         const val MAX_WAITING = 12
 
         /** Callers leave a stream that has not begun after four times their target; the first event needs the rest. */
-        const val PATIENCE = 3.2
-        const val LEAST_PATIENCE_MS = 1_500L
+        const val ABANDON_FACTOR = 3.2
+        const val LEAST_WAIT_MS = 1_500L
     }
 }
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/routing/RouteRule.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/routing/RouteRule.kt
@@ -27,7 +27,7 @@
  * @param prefix begins and ends with a slash; the longest one that begins the path decides.
  * @param stream whether the answer is a stream of events.
  * @param timeoutMs longest time in milliseconds until the final answer.
- * @param targetMs time in milliseconds until the answer, or the first event of a stream, that is worth most.
+ * @param targetMs time in milliseconds in which the answer, or the first event of a stream, should come.
  * @param urgency rank of the work; 0 is the most urgent.
  * @param maxAttempts most servers that one request is sent to.
  * @param maxGapMs longest pause between two events of a stream, in milliseconds; 0 where none is stated.
--- a/gentiandale-relay/src/test/kotlin/gentiandale/relay/placement/WaitingOrderTest.kt
+++ b/gentiandale-relay/src/test/kotlin/gentiandale/relay/placement/WaitingOrderTest.kt
@@ -26,8 +26,8 @@
     @Test
     fun `nobody waits for more than a burst, and not behind too many`() {
         val waiting = Waiting(0, 0, 800)
-        assertFalse(order.isHopeless(waiting, 1_000))
-        assertTrue(order.isHopeless(waiting, 20_000))
+        assertFalse(order.willBeAbandoned(waiting, 1_000))
+        assertTrue(order.willBeAbandoned(waiting, 20_000))
         assertFalse(order.isTooLong(3))
         assertTrue(order.isTooLong(100))
     }
