Found the group by a majority of the initial voters

Cause: only the first initial voter by name bootstrapped the group, and only in a process with first-start set. A voter lost for good before the bootstrap blocked it too, as a reply of every other one was needed.

Change: at the first start a majority of the initial VMs agrees on the first voters by single-decree Paxos. The part of a member is durable in its vote file, so that a process that is started again continues; a folder without it, such as that of a lost disk, takes no part. All initial VMs that run become voters; a missing one is waited for one second and joins by the automatic replacement. The daemon keeps the rule that all must reply, since it can't tell a first start from a lost disk.

Ruled out: letting the second VM by name bootstrap after a timeout, which gives two groups after a partition or freeze; letting any process without the mark take part, which gives two groups after a lost disk (shown by the specification).

--- a/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/StoreSupervisor.kt
+++ b/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/StoreSupervisor.kt
@@ -10,6 +10,7 @@
 import gentiandale.state.StoreReply
 import gentiandale.state.SubmitOutcome
 import gentiandale.state.log.DiskFolder
+import gentiandale.state.raft.GroupFormation
 import gentiandale.state.raft.RaftSettings
 import gentiandale.state.raft.ReplicaSettings
 import gentiandale.state.raft.VoterReplacementPolicy
@@ -131,7 +132,7 @@
         raft = RaftSettings(),
         snapshotEntries = SNAPSHOT_ENTRIES,
         keptEntries = KEPT_ENTRIES,
-        mayFound = isFirstStart,
+        formation = if (isFirstStart) GroupFormation.AtFirstStart else GroupFormation.AsRecorded,
         voterReplacement = VoterReplacementPolicy(target = 2 * toleratedLosses + 1),
     )
 
--- a/gentiandale-state/src/main/kotlin/gentiandale/state/raft/AgreementMessage.kt
+++ b/gentiandale-state/src/main/kotlin/gentiandale/state/raft/AgreementMessage.kt
@@ -26,4 +26,9 @@
     @Serializable
     @SerialName("hr")
     public data class HelloReply(val to: VoterId, val member: Member, val group: GroupId?) : AgreementMessage
+
+    /** Carries a [message] of [member] about founding the group. */
+    @Serializable
+    @SerialName("f")
+    public data class Founding(val member: Member, val message: FoundingMessage) : AgreementMessage
 }
--- a/gentiandale-state/src/main/kotlin/gentiandale/state/raft/LogEntry.kt
+++ b/gentiandale-state/src/main/kotlin/gentiandale/state/raft/LogEntry.kt
@@ -81,6 +81,12 @@
  *
  * @param votedFor candidate that received this member's vote in [term], or null.
  * @param group group that this member belongs to; null until it has joined one.
+ * @param founding part of this member in founding the group; null if it has none.
  */
 @Serializable
-public data class VoteState(val term: Long = 0, val votedFor: VoterId? = null, val group: GroupId? = null)
+public data class VoteState(
+    val term: Long = 0,
+    val votedFor: VoterId? = null,
+    val group: GroupId? = null,
+    val founding: FoundingState? = null,
+)
--- a/gentiandale-state/src/main/kotlin/gentiandale/state/raft/RaftCore.kt
+++ b/gentiandale-state/src/main/kotlin/gentiandale/state/raft/RaftCore.kt
@@ -67,11 +67,27 @@
         }
     }
 
-    /** Creates [group] with the voters [members], which include this member. None of them may have joined a group. */
-    public fun bootstrap(group: GroupId, members: List<Member>) {
-        check(state.vote.group == null && state.log.lastIndex == 0L) { "$self already belongs to a group." }
-        state.saveVote(VoteState(term = 1, group = group))
+    /** State of founding the group, as saved on this member; null if it takes no part. */
+    public val founding: FoundingState? get() = state.vote.founding
+
+    /** Whether the log has neither entries nor a snapshot. */
+    public val isEmpty: Boolean get() = state.log.lastIndex == 0L
+
+    /** Saves [founding]. */
+    public fun saveFounding(founding: FoundingState) {
+        state.saveVote(state.vote.copy(founding = founding))
+    }
+
+    /**
+     * Creates [group] with the voters [members], which include this member. All of them must create the same group with
+     * the same members, and none may have joined another one. At most one of them should [campaign] at once; the others
+     * wait for an election timeout.
+     */
+    public fun bootstrap(group: GroupId, members: List<Member>, campaign: Boolean = true) {
+        check((state.vote.group ?: group) == group && isEmpty) { "$self already belongs to a group." }
+        state.saveVote(state.vote.copy(term = maxOf(state.term, 1), group = group))
         state.append(listOf(LogEntry(1, 1, Payload.Members(Membership(members)))))
+        if (campaign) startPreVote() else state.resetElectionTimer()
     }
 
     /** Appends [payload] and returns its index, or null if this member is not a leader confirmed by a majority. */
--- a/gentiandale-state/src/main/kotlin/gentiandale/state/raft/Replica.kt
+++ b/gentiandale-state/src/main/kotlin/gentiandale/state/raft/Replica.kt
@@ -39,6 +39,7 @@
     private val self = Member(vm, recovered.voter)
     private val core = RaftCore(self, settings.raft, random, recovered, nowMs)
     private val groupBootstrap = GroupBootstrap(self, initial)
+    private val founding = foundingState(recovered)?.let { GroupFounding(self, it, random, nowMs) }
     private val machine = StoreMachine().also { m -> recovered.snapshot?.let { m.restore(it.store) } }
     private val pending = HashMap<Long, PendingCommand>()
     private val announced = HashMap<VmId, Member>()
@@ -60,6 +61,7 @@
     public val status: ReplicaStatus
         get() = ReplicaStatus(
             self = self,
+            group = core.group,
             leader = core.leader?.vm,
             isLeader = core.isLeader,
             term = core.term,
@@ -73,6 +75,7 @@
         this.nowMs = maxOf(this.nowMs, nowMs)
         core.tick(nowMs)
         if (nowMs >= helloDueMs && !isVoterWithLeader()) sendHellos(nowMs)
+        if (core.isEmpty) founding?.tick(nowMs)
         if (core.isLeader) updateMembership() else abandonReplacement()
     }
 
@@ -83,9 +86,14 @@
             is AgreementMessage.Hello -> {
                 announced[message.member.vm] = message.member
                 announcedMs[message.member.vm] = nowMs
+                founding?.onHeard(message.member, nowMs)
                 sender.send(from, AgreementMessage.HelloReply(message.member.voter, self, core.group))
             }
-            is AgreementMessage.HelloReply -> groupBootstrap.onReply(message)
+            is AgreementMessage.HelloReply -> {
+                groupBootstrap.onReply(message)
+                founding?.onHeard(message.member, nowMs)
+            }
+            is AgreementMessage.Founding -> founding?.receive(message.member, message.message)
         }
     }
 
@@ -117,6 +125,7 @@
     /** Performs the effects of all events since the last call. One sync of the log covers all of them. */
     @Throws(IOException::class)
     public fun flush() {
+        founding?.let(::applyFounding)
         while (true) {
             val output = core.takeOutput()
             if (output.isEmpty) break
@@ -128,10 +137,27 @@
             output.committed.forEach(::apply)
             core.markDurable(output.lastIndex)
         }
+        founding?.takeMessages()?.forEach { (to, message) ->
+            sender.send(to, AgreementMessage.Founding(self, message))
+        }
         if (applied - snapshotIndex >= settings.snapshotEntries) takeSnapshot()
         logLeaderChange()
     }
 
+    /** Returns the state of a member that takes part in founding the group, or null if it must not. */
+    private fun foundingState(recovered: RecoveredState): FoundingState? {
+        val isUnused = recovered.vote == VoteState() && recovered.snapshot == null && recovered.entries.isEmpty()
+        val mayStart = settings.formation is GroupFormation.AtFirstStart && isUnused && self.vm in initial
+        return recovered.vote.founding ?: if (mayStart) FoundingState(initial.sorted()) else null
+    }
+
+    /** Passes the state to save to the core, and bootstraps the group once the first voters are decided. */
+    private fun applyFounding(founding: GroupFounding) {
+        core.saveFounding(founding.state)
+        val decided = founding.decided ?: return
+        if (core.isEmpty && self in decided.members) bootstrapGroup(decided.group, decided.members, founding.isFounder)
+    }
+
     private fun send(envelope: RaftEnvelope) {
         sender.send(envelope.to.vm, AgreementMessage.Raft(envelope))
     }
@@ -169,7 +195,9 @@
 
     private fun sendHellos(nowMs: Long) {
         helloDueMs = nowMs + settings.helloMs
-        if (core.group == null && settings.mayFound) groupBootstrap.founders()?.let(::bootstrapGroup)
+        if (core.group == null && settings.formation is GroupFormation.AfterAllReplies) {
+            groupBootstrap.founders()?.let { bootstrapGroup(GroupId("g-${self.voter}"), it) }
+        }
         val others = initial + contacts + core.membership.voters.map { it.vm }
         others.distinct().filter { it != self.vm }.forEach { sender.send(it, AgreementMessage.Hello(self)) }
     }
@@ -177,9 +205,9 @@
     /** Returns false also for a voter without a known leader, as it may have been removed without being notified. */
     private fun isVoterWithLeader() = core.membership.isVoter(self.voter) && (core.isLeader || core.leader != null)
 
-    private fun bootstrapGroup(members: List<Member>) {
-        logger.info("Bootstrapping a group with members {}.", members)
-        core.bootstrap(GroupId("g-${self.voter}"), members)
+    private fun bootstrapGroup(group: GroupId, members: List<Member>, campaign: Boolean = true) {
+        logger.info("Bootstrapping group {} with members {}.", group, members)
+        core.bootstrap(group, members, campaign)
     }
 
     private fun updateMembership() {
--- a/gentiandale-state/src/main/kotlin/gentiandale/state/raft/ReplicaStatus.kt
+++ b/gentiandale-state/src/main/kotlin/gentiandale/state/raft/ReplicaStatus.kt
@@ -3,13 +3,28 @@
 import gentiandale.core.VmId
 import kotlinx.serialization.Serializable
 
+/** How a member without a group may bootstrap one. */
+public sealed interface GroupFormation {
+    /**
+     * One initial voter bootstraps the group when all others have replied that they are in none. It is safe without
+     * knowing whether this is the first start: a VM that lost its disk never gets all replies of a group that exists.
+     */
+    public data object AfterAllReplies : GroupFormation
+
+    /** A majority of the initial voters founds the group. Only valid if the data folders have never been used. */
+    public data object AtFirstStart : GroupFormation
+
+    /** The member takes part only if its data folder shows that it did so at the first start. */
+    public data object AsRecorded : GroupFormation
+}
+
 /**
  * Settings of a [Replica].
  *
  * @param snapshotEntries number of applied entries after which a snapshot is taken.
  * @param keptEntries number of entries kept before the snapshot's index, for members that lag behind.
  * @param helloMs interval in milliseconds of the hello messages of a member that is not a voter or knows no leader.
- * @param mayFound whether this member may bootstrap a group; false if a group is known to exist.
+ * @param formation how this member may bootstrap a group.
  * @param voterReplacement policy for replacing voters without an operator; null to leave replacement to operators.
  */
 public data class ReplicaSettings(
@@ -17,18 +32,20 @@
     val snapshotEntries: Long = 4_096,
     val keptEntries: Long = 1_024,
     val helloMs: Long = 500,
-    val mayFound: Boolean = true,
+    val formation: GroupFormation = GroupFormation.AfterAllReplies,
     val voterReplacement: VoterReplacementPolicy? = null,
 )
 
 /**
  * Status of one member.
  *
+ * @param group group that this member belongs to; null until it has joined one.
  * @param leader known leader of the current term, or null.
  * @param confirmedMs monotonic time in milliseconds at which a majority last confirmed the state applied here.
  */
 public data class ReplicaStatus(
     val self: Member,
+    val group: GroupId?,
     val leader: VmId?,
     val isLeader: Boolean,
     val term: Long,
--- a/gentiandale-state/src/test/kotlin/gentiandale/state/raft/SimulatedNode.kt
+++ b/gentiandale-state/src/test/kotlin/gentiandale/state/raft/SimulatedNode.kt
@@ -18,14 +18,19 @@
     private var frozenUntilMs = 0L
     private var flushing = false
     private var revision = 0L
+    private var startedMs = 0L
 
     val isUp: Boolean get() = replica != null
+
+    /** Time in milliseconds since the last start; 0 if the VM is down. */
+    val upMs: Long get() = if (isUp) simulation.time.nowMs - startedMs else 0
     val status: ReplicaStatus? get() = replica?.status
     val configuration: Configuration? get() = replica?.store?.configuration()
 
     fun start() {
         if (replica != null) return
         incarnation++
+        startedMs = simulation.time.nowMs
         revision = 0
         val opening = DurableLog.open(folder, SEGMENT_BYTES) { VoterId("$vm-${random.nextInt(1_000_000)}") }
         check(opening is LogOpenResult.Opened) { "Data folder of $vm: ${(opening as LogOpenResult.Refused).reason}" }
@@ -34,7 +39,12 @@
             simulation.initial,
             opening.log,
             opening.state,
-            ReplicaSettings(snapshotEntries = 20, keptEntries = 5, voterReplacement = simulation.replacementPolicy),
+            ReplicaSettings(
+                snapshotEntries = 20,
+                keptEntries = 5,
+                formation = if (incarnation == 1) simulation.formation else simulation.laterFormation,
+                voterReplacement = simulation.replacementPolicy,
+            ),
             random,
             simulation.time.nowMs,
         ) { to, message -> simulation.deliver(vm, to) { it.receive(vm, message) } }
--- a/gentiandale-state/src/test/kotlin/gentiandale/state/raft/Simulation.kt
+++ b/gentiandale-state/src/test/kotlin/gentiandale/state/raft/Simulation.kt
@@ -11,8 +11,17 @@
 import kotlin.random.Random
 
 /** Simulates voters, a faulty network and operators in virtual time. A run is reproducible from its seed. */
-class Simulation(voters: Int, seed: Int, spares: Int = 0, val replacementPolicy: VoterReplacementPolicy? = null) {
+class Simulation(
+    voters: Int,
+    seed: Int,
+    spares: Int = 0,
+    val replacementPolicy: VoterReplacementPolicy? = null,
+    val formation: GroupFormation = GroupFormation.AfterAllReplies,
+) {
     val time = VirtualTime()
+    /** Formation of a VM that is started again. */
+    val laterFormation: GroupFormation =
+        if (formation is GroupFormation.AtFirstStart) GroupFormation.AsRecorded else formation
     val initial = (1..voters).map { VmId("vm$it") }
     val records = (1..RECORDS).map { RecordId("rank", "r$it") }
     private val random = Random(seed)
