--- a/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/LoadAggregator.kt
+++ b/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/LoadAggregator.kt
@@ -11,7 +11,15 @@
 internal class LoadAggregator {
     private val reports = HashMap<VmId, Map<ServerId, AssignedLoad>>()
     private val totals = HashMap<ServerId, AssignedLoad>()
-    private val lastSent = HashMap<VmId, Map<ServerId, AssignedLoad>>()
+    private val lastSent = HashMap<VmId, SentLoads>()
+    private val changedAt = HashMap<ServerId, Long>()
+    private var changeCount = 0L
+
+    /** Loads last sent to a VM, which include all changes up to [changeCount]. */
+    private class SentLoads {
+        var changeCount = 0L
+        val loads = HashMap<ServerId, AssignedLoad>()
+    }
 
     /** Load of all VMs on each engine that has load. */
     val sums: List<AssignedLoad> get() = totals.values.filter { it != AssignedLoad(it.id) }
@@ -20,9 +28,10 @@
     fun report(vm: VmId, loads: List<AssignedLoad>) {
         val after = loads.associateBy { it.id }
         val before = reports.put(vm, after).orEmpty()
-        (before.keys + after.keys).forEach { id ->
+        (before.keys + after.keys).filter { before[it] != after[it] }.forEach { id ->
             val none = AssignedLoad(id)
             totals[id] = (totals[id] ?: none) + (after[id] ?: none) - (before[id] ?: none)
+            changedAt[id] = ++changeCount
         }
     }
 
@@ -36,8 +45,15 @@
     /** Returns the load of the other VMs on servers where it has changed since the last call for [vm], or on [all]. */
     fun changesFor(vm: VmId, all: Boolean): List<AssignedLoad> {
         val localLoads = reports[vm].orEmpty()
-        val peerLoads = totals.mapValues { (id, sum) -> sum - (localLoads[id] ?: AssignedLoad(id)) }
-        val known = lastSent.put(vm, peerLoads).orEmpty()
-        return peerLoads.values.filter { all || it != (known[it.id] ?: AssignedLoad(it.id)) }
+        val sent = lastSent.getOrPut(vm) { SentLoads() }
+        val candidates = if (all) totals.keys else changedAt.filterValues { it > sent.changeCount }.keys
+        sent.changeCount = changeCount
+        return candidates.mapNotNull { id ->
+            val none = AssignedLoad(id)
+            val peerLoad = (totals[id] ?: none) - (localLoads[id] ?: none)
+            val isKnown = peerLoad == (sent.loads[id] ?: none)
+            sent.loads[id] = peerLoad
+            peerLoad.takeIf { all || !isKnown }
+        }
     }
 }
--- a/gentiandale-wire/src/main/kotlin/gentiandale/wire/PeerLink.kt
+++ b/gentiandale-wire/src/main/kotlin/gentiandale/wire/PeerLink.kt
@@ -10,14 +10,15 @@
 import io.ktor.utils.io.readByte
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
 import kotlinx.coroutines.channels.BufferOverflow
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.isActive
+import kotlinx.coroutines.job
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeout
 import org.slf4j.LoggerFactory
-import java.io.IOException
 import kotlinx.coroutines.channels.Channel as Mailbox
 
 /**
@@ -36,6 +37,12 @@
     private val ping = encodeFrame(Envelope(self, Channel.LINK, 0, reply = false, ByteArray(0)))
     private val job = scope.launch { run() }
 
+    @Volatile
+    private var pings: PingTracker? = null
+
+    @Volatile
+    private var connection: Job? = null
+
     /** Whether a connection is open, as far as this process knows. */
     @Volatile
     var isConnected: Boolean = false
@@ -45,6 +52,13 @@
         mailbox.trySend(encodeFrame(envelope))
     }
 
+    /** Closes the connection if the peer has not answered a ping in time. */
+    fun checkPing() {
+        if (pings?.isTimedOut() != true) return
+        log.debug("wire: {} did not answer a ping within {} ns", address, PING_TIMEOUT_NANOS)
+        connection?.cancel()
+    }
+
     fun close() {
         job.cancel()
         mailbox.close()
@@ -71,26 +85,24 @@
             socket.use { writeUntilClosed(it, first) }
         } finally {
             isConnected = false
+            pings = null
+            connection = null
         }
     }
 
     /** Writes until either side closes the connection or a ping times out. The peer answers each ping with one byte. */
     private suspend fun writeUntilClosed(socket: Socket, first: ByteArray) = coroutineScope {
-        val pings = PingTracker()
+        val tracker = PingTracker()
+        pings = tracker
+        connection = coroutineContext.job
         launch {
             val input = socket.openReadChannel()
             while (true) {
                 input.readByte()
-                pings.onPong()
+                tracker.onPong()
             }
         }
-        launch {
-            while (true) {
-                delay(PING_CHECK_INTERVAL_MS)
-                if (pings.isTimedOut()) throw PingTimeoutException()
-            }
-        }
-        writeAll(socket, first, pings)
+        writeAll(socket, first, tracker)
     }
 
     private suspend fun writeAll(socket: Socket, first: ByteArray, pings: PingTracker) {
@@ -106,16 +118,18 @@
         }
     }
 
-    private class PingTimeoutException : IOException("the peer did not answer a ping within $PING_TIMEOUT_NANOS ns")
-
-    /** Allows at most one unanswered ping and measures how long it has been unanswered. */
+    /** Allows at most one unanswered ping, one per [PING_INTERVAL_NANOS], and measures how long it is unanswered. */
     private class PingTracker {
         @Volatile
         private var pingSentNanos = NONE
+        private var lastPingNanos = NONE
 
         fun startPing(): Boolean {
+            val now = System.nanoTime()
             if (pingSentNanos != NONE) return false
-            pingSentNanos = System.nanoTime()
+            if (lastPingNanos != NONE && now - lastPingNanos < PING_INTERVAL_NANOS) return false
+            lastPingNanos = now
+            pingSentNanos = now
             return true
         }
 
@@ -140,8 +154,8 @@
         /** Longer than a round trip between regions with one retransmitted packet. */
         const val CONNECT_TIMEOUT_MS = 700L
 
-        /** Interval of the check for a ping timeout. */
-        const val PING_CHECK_INTERVAL_MS = 250L
+        /** Minimum time between two pings on a busy connection. */
+        const val PING_INTERVAL_NANOS = 500_000_000L
 
         /** Several retransmissions of a lost packet; well below the time within which a change must take effect. */
         const val PING_TIMEOUT_NANOS = 1_000_000_000L
--- a/gentiandale-wire/src/main/kotlin/gentiandale/wire/PeerNode.kt
+++ b/gentiandale-wire/src/main/kotlin/gentiandale/wire/PeerNode.kt
@@ -15,13 +15,16 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.asCoroutineDispatcher
 import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import org.slf4j.LoggerFactory
 import java.io.IOException
 import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.Executors
 import java.util.concurrent.atomic.AtomicLong
 
 /** Handles the messages of one channel. */
@@ -40,8 +43,10 @@
  */
 public class PeerNode(public val self: VmId, private val filter: LinkFilter = LinkFilter.OPEN) : AutoCloseable {
     private val log = LoggerFactory.getLogger(PeerNode::class.java)
-    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
-    private val selector = SelectorManager(Dispatchers.IO)
+    // Sockets run on this dispatcher too, so that a message is read and decoded without a change of threads.
+    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.IO)
+    private val selectorThread = Executors.newSingleThreadExecutor { Thread(it, SELECTOR_THREAD).apply { isDaemon = true } }
+    private val selector = SelectorManager(selectorThread.asCoroutineDispatcher())
     private val handlers = ConcurrentHashMap<Channel, MessageHandler>()
     private val addresses = ConcurrentHashMap<VmId, Address>()
     private val links = ConcurrentHashMap<VmId, PeerLink>()
@@ -58,6 +63,7 @@
         val socket = aSocket(selector).tcp().bind(address.host, address.port) { reuseAddress = true }
         server = socket
         scope.launch { acceptAll(socket) }
+        scope.launch { checkPings() }
         return socket.port
     }
 
@@ -98,6 +104,7 @@
         links.values.forEach { it.close() }
         scope.cancel()
         selector.close()
+        selectorThread.shutdown()
     }
 
     private fun post(peer: VmId, envelope: Envelope) {
@@ -107,6 +114,14 @@
         link.offer(envelope)
     }
 
+    /** Closes the connections whose peer does not answer pings; one timer serves all links. */
+    private suspend fun checkPings() {
+        while (scope.isActive) {
+            delay(PING_CHECK_INTERVAL_MS)
+            links.values.forEach { it.checkPing() }
+        }
+    }
+
     private suspend fun acceptAll(socket: ServerSocket) {
         while (scope.isActive) {
             val accepted = try {
@@ -159,5 +174,9 @@
 
     private companion object {
         const val PONG: Byte = 1
+        const val SELECTOR_THREAD = "gentiandale-selector"
+
+        /** Interval of the check for ping timeouts. */
+        const val PING_CHECK_INTERVAL_MS = 250L
     }
 }
