Heed what servers say about themselves, and bound answers without end

A server that leaves says so in every answer (Server-Leaving): the VM that reads it sends nothing new from then on, tells every control VM, and these tell the other VMs. The row of a server is marked for the rest of its incarnation, so neither a later heartbeat nor a restart of a process of ours undoes it.

Bytes without end: an idle connection with surplus bytes was read for ever, as it was only marked; a retryable or unsigned plain answer, an event of a stream and the answer to a prefill or to the release of a KV cache had no limit in bytes or time; a caller that didn't read made forwarded bytes pile up; comments kept a stalled stream. Each has a limit now, and the connection is closed, the server charged, and the caller told the truth.

--- a/gentiandale-core/src/main/kotlin/gentiandale/core/backend/BackendRow.kt
+++ b/gentiandale-core/src/main/kotlin/gentiandale/core/backend/BackendRow.kt
@@ -41,6 +41,7 @@
  * @param places requests that it runs at once.
  * @param weights version of its model weights; 0 where it has none or reports none.
  * @param silent whether control VMs have received no heartbeat for several intervals.
+ * @param departing whether it has said in an answer that it leaves, which holds for the rest of its incarnation.
  */
 @Serializable
 public data class BackendRow(
@@ -55,7 +56,11 @@
     @SerialName("p") val places: Int,
     @SerialName("w") val weights: Long = 0,
     @SerialName("x") val silent: Boolean = false,
+    @SerialName("l") val departing: Boolean = false,
 ) {
+    /** Whether it accepts new work. */
+    val acceptsWork: Boolean get() = state == BackendState.READY && !departing
+
     /** Returns whether this row is newer than [other], a row of the same server. */
     public fun isNewerThan(other: BackendRow): Boolean = when {
         incarnation != other.incarnation -> incarnation > other.incarnation
--- a/gentiandale-core/src/main/kotlin/gentiandale/core/backend/BackendTable.kt
+++ b/gentiandale-core/src/main/kotlin/gentiandale/core/backend/BackendTable.kt
@@ -20,6 +20,16 @@
     /** Stores [row] unless a newer one is known, and returns the rows that entry VMs must treat differently now. */
     public fun merge(row: BackendRow): List<BackendRow> {
         val known = rows[row.id]
+        if (known == null || known.incarnation != row.incarnation || known.departing == row.departing) {
+            return mergeNewer(row, known)
+        }
+        // A departure holds for the incarnation, whichever row is newer.
+        if (known.departing) return mergeNewer(row.copy(departing = true), known)
+        val departing = known.copy(departing = true).also { rows[row.id] = it }
+        return mergeNewer(row, departing).ifEmpty { listOf(departing) }
+    }
+
+    private fun mergeNewer(row: BackendRow, known: BackendRow?): List<BackendRow> {
         if (known != null && !row.isNewerThan(known)) return emptyList()
         val owner = idsByAddress[row.address]?.let(rows::get)?.takeIf { it.id != row.id }
         if (owner != null && owner.state != BackendState.GONE && owner.incarnation > row.incarnation) return emptyList()
--- a/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/ControlHub.kt
+++ b/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/ControlHub.kt
@@ -41,6 +41,7 @@
     private val loads = LoadAggregator()
     private val suspicions = SuspicionTracker()
     private var areLoadsChanged = false
+    private var lastLoadsMs = Long.MIN_VALUE / 2
     private var gossipLoads = emptyList<AssignedLoad>()
     private var gossipLoadsMs = Long.MIN_VALUE / 2
     private var lastFetchMs = Long.MIN_VALUE / 2
@@ -79,6 +80,11 @@
         notifyEntries(changed)
     }
 
+    /** Records that the server [id] has said in an answer to this VM that it leaves, and tells the other VMs. */
+    public fun onDeparting(id: ServerId) {
+        table[id]?.takeIf { !it.departing }?.let { onHeartbeat(it.copy(departing = true)) }
+    }
+
     /** Returns the row of the server [id], or null if it is unknown. */
     public fun find(id: ServerId): BackendRow? = table[id]
 
@@ -132,9 +138,10 @@
         removeExpired(now)
     }
 
-    /** Sends changed loads to the entry VMs. Must be called every [LOAD_TICK_MS] milliseconds. */
+    /** Sends changed loads to the entry VMs if that is due. Must be called every [LOAD_TICK_MS] milliseconds. */
     public fun tickLoads() {
-        if (areLoadsChanged) sendLoads(all = false)
+        val intervalMs = entries.size * LOAD_INTERVAL_PER_ENTRY_MS
+        if (areLoadsChanged && clock.monotonicMs() - lastLoadsMs >= intervalMs) sendLoads(all = false)
     }
 
     /** Tells the entry VMs that the engine [server] accepts no work for [forMs] milliseconds. */
@@ -145,6 +152,7 @@
 
     private fun sendLoads(all: Boolean) {
         areLoadsChanged = false
+        lastLoadsMs = clock.monotonicMs()
         entries.keys.forEach { vm ->
             val changes = loads.changesFor(vm, all)
             if (changes.isNotEmpty()) sender.send(vm, FleetMessage.PeerLoad(changes))
@@ -228,6 +236,12 @@
         /** Interval of [tickLoads] in milliseconds; most requests to one engine are further apart than this. */
         public const val LOAD_TICK_MS: Long = 30
 
+        /**
+         * Minimum interval of changed loads in milliseconds for each entry VM, so that their number per second does not
+         * grow with the fleet. A VM that places a generation gets the current loads with its confirmation.
+         */
+        private const val LOAD_INTERVAL_PER_ENTRY_MS = 1L
+
         /** Loads received from another control VM are ignored after this time. */
         private const val GOSSIP_LOADS_MAX_AGE_MS = 1_500L
 
--- a/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/FleetSubscriber.kt
+++ b/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/FleetSubscriber.kt
@@ -114,6 +114,12 @@
         reportedTo?.let { sender.send(it, FleetMessage.Suspect(server)) }
     }
 
+    /** Passes [row], which this VM has learned from an answer of the server, to every known control VM. */
+    public fun reportServer(row: BackendRow) {
+        val message = FleetMessage.Servers(listOf(row))
+        controlVms.all.forEach { sender.send(it, message) }
+    }
+
     /** Handles [message] from the control VM [from]. */
     public fun receive(from: VmId, message: FleetMessage) {
         val now = clock.monotonicMs()
--- a/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/StageBalancer.kt
+++ b/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/StageBalancer.kt
@@ -4,7 +4,6 @@
 import gentiandale.core.ServerKind
 import gentiandale.core.backend.AssignedLoad
 import gentiandale.core.backend.BackendRow
-import gentiandale.core.backend.BackendState
 
 /**
  * An engine and the load that all entry VMs have placed on it.
@@ -49,7 +48,7 @@
             val isDone = engines.none { it.row.id == order.change.server.id && it.row.kind == order.change.server.kind }
             isDone || nowMs - order.orderedMs > ORDER_EXPIRY_MS + switchMs
         }
-        val ready = engines.filter { it.row.state == BackendState.READY && !it.row.silent && it.row.id !in pending }
+        val ready = engines.filter { it.row.acceptsWork && !it.row.silent && it.row.id !in pending }
         val (prefills, decodes) = ready.partition { it.row.kind == ServerKind.PREFILL }
         if (decodes.isEmpty()) return null
         if (prefills.isEmpty()) return firstPrefill(decodes)?.also { recordOrder(it, nowMs) }
--- a/gentiandale-fleet/src/test/kotlin/gentiandale/fleet/FleetPropagationTest.kt
+++ b/gentiandale-fleet/src/test/kotlin/gentiandale/fleet/FleetPropagationTest.kt
@@ -50,7 +50,7 @@
     private val cut = HashSet<Set<VmId>>()
     private val queue = ArrayDeque<Triple<VmId, VmId, ByteArray>>()
     private val controls = List(4) { VmId("10.0.$it.1") }
-    private val hubs = controls.associateWith { id ->
+    private val hubs: MutableMap<VmId, ControlHub> = controls.associateWithTo(HashMap()) { id ->
         ControlHub(id, clock, sender(id), EventLog.NONE, silenceMs = 4_800).also {
             it.setSeeds(controls.take(3).toSet())
         }
@@ -97,6 +97,57 @@
         }
     }
 
+    @Nested
+    inner class Departure {
+        @Test
+        fun `told to one entry VM reaches all and outlasts later heartbeats`() {
+            advance(2_000)
+            hubs.getValue(controls[0]).onHeartbeat(row(sequence = 1))
+            advance(100)
+            entries[0].subscriber.reportServer(row(sequence = 1).copy(departing = true))
+            deliver()
+            assertEquals(List(3) { false }, entries.map { it.table[SERVER]?.acceptsWork })
+            hubs.getValue(controls[1]).onHeartbeat(row(sequence = 2))
+            advance(3_000)
+            assertEquals(List(3) { false }, entries.map { it.table[SERVER]?.acceptsWork })
+        }
+
+        @Test
+        fun `is known to a control VM that was started again`() {
+            advance(2_000)
+            hubs.getValue(controls[0]).onHeartbeat(row(sequence = 1))
+            entries[0].subscriber.reportServer(row(sequence = 1).copy(departing = true))
+            advance(100)
+            val restarted = ControlHub(controls[0], clock, sender(controls[0]), EventLog.NONE, silenceMs = 4_800)
+            restarted.setSeeds(controls.take(3).toSet())
+            hubs[controls[0]] = restarted
+            restarted.onHeartbeat(row(sequence = 2))
+            advance(3_000)
+            assertEquals(true, restarted.find(SERVER)?.departing)
+            assertEquals(List(3) { false }, entries.map { it.table[SERVER]?.acceptsWork })
+        }
+
+        @Test
+        fun `does not hold for the next incarnation`() {
+            advance(2_000)
+            hubs.getValue(controls[0]).onHeartbeat(row(sequence = 1).copy(departing = true))
+            advance(100)
+            hubs.getValue(controls[0]).onHeartbeat(row(sequence = 1).copy(incarnation = Incarnation(2)))
+            advance(100)
+            assertEquals(List(3) { true }, entries.map { it.table[SERVER]?.acceptsWork })
+        }
+
+        @Test
+        fun `in an answer to a control VM reaches the entry VMs`() {
+            advance(2_000)
+            hubs.getValue(controls[0]).onHeartbeat(row(sequence = 1))
+            advance(100)
+            hubs.getValue(controls[0]).onDeparting(SERVER)
+            deliver()
+            assertEquals(List(3) { false }, entries.map { it.table[SERVER]?.acceptsWork })
+        }
+    }
+
     @Nested
     inner class Configuration {
         @Test
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/Relay.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/Relay.kt
@@ -67,6 +67,7 @@
     private val context = RelayContext(
         loop = transport.loop,
         nowMs = clock::monotonicMs,
+        wallMs = clock::wallMs,
         registry = registry,
         upstreams = upstreams,
         dialect = dialect,
@@ -150,6 +151,8 @@
 
         override fun onSuspect(server: ServerId) = listener.onSuspect(server)
 
+        override fun onDeparting(row: BackendRow) = listener.onDeparting(row)
+
         override fun confirmLoad(done: () -> Unit) {
             var isDone = false
             val doneOnce = {
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/RelayEvent.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/RelayEvent.kt
@@ -2,6 +2,7 @@
 
 import gentiandale.core.ServerId
 import gentiandale.core.backend.AssignedLoad
+import gentiandale.core.backend.BackendRow
 import gentiandale.core.log.LogEvent
 import gentiandale.core.log.LogLine
 import gentiandale.relay.backend.GenerationMemory
@@ -67,6 +68,25 @@
         }
     }
 
+    /**
+     * A server said in an answer that it leaves, or that it wants no requests for a while.
+     *
+     * @param kind what the server said.
+     * @param restMs time in milliseconds for which this VM sends it no requests, or null.
+     */
+    public class ServerNotice(
+        private val request: String?,
+        private val server: BackendRow,
+        private val kind: String,
+        private val restMs: Long?,
+    ) : RelayEvent("server-notice") {
+        override fun describe(line: LogLine) {
+            line.field("request", request).field("server", server.id.value)
+                .field("incarnation_of_server", server.incarnation.value).field("sequence", server.sequence)
+                .field("kind", kind).field("rest_ms", restMs)
+        }
+    }
+
     /**
      * Engine capacity was reserved for a generation.
      *
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/RelayListener.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/RelayListener.kt
@@ -1,6 +1,7 @@
 package gentiandale.relay
 
 import gentiandale.core.ServerId
+import gentiandale.core.backend.BackendRow
 
 /** Receives events of a relay that concern the other VMs. Called on the event loop. */
 public interface RelayListener {
@@ -10,6 +11,9 @@
     /** Called when the engine [server] has failed to answer this VM. */
     public fun onSuspect(server: ServerId)
 
+    /** Called when a server has said in an answer that it leaves; [row] is its changed row. */
+    public fun onDeparting(row: BackendRow)
+
     /** Reports the load at once, and calls [done] when the load placed earlier by other VMs is known, or soon after. */
     public fun confirmLoad(done: () -> Unit)
 
@@ -21,6 +25,8 @@
 
             override fun onSuspect(server: ServerId) = Unit
 
+            override fun onDeparting(row: BackendRow) = Unit
+
             override fun confirmLoad(done: () -> Unit) = done()
         }
     }
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/RelayMetrics.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/RelayMetrics.kt
@@ -21,6 +21,11 @@
         .help("Retries by service and by whether the retry budget allowed them.")
         .labelNames("service", "allowed")
         .register(registry)
+    private val notices = Counter.builder()
+        .name("gentiandale_server_notices_total")
+        .help("Answers in which a server said that it leaves or wants no requests for a while, by kind.")
+        .labelNames("kind")
+        .register(registry)
     private val duration = histogram(registry, "gentiandale_request_duration_seconds", "Time to the end of a request.")
     private val first = histogram(registry, "gentiandale_first_byte_seconds", "Time to the first byte of the answer.")
 
@@ -38,6 +43,10 @@
         retries.labelValues(service, allowed.toString()).inc()
     }
 
+    override fun onServerNotice(kind: String) {
+        notices.labelValues(kind).inc()
+    }
+
     private fun histogram(registry: PrometheusRegistry, name: String, help: String) = Histogram.builder()
         .name(name)
         .help(help)
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/RelayStats.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/RelayStats.kt
@@ -11,6 +11,9 @@
     /** Records a retry to [service], which the retry budget [allowed] or not. */
     public fun onRetry(service: String, allowed: Boolean)
 
+    /** Records that a server said in an answer that it leaves or rests, as named by [kind]. */
+    public fun onServerNotice(kind: String)
+
     /** Provides an implementation without effect. */
     public companion object {
         /** Discards all measurements. */
@@ -20,6 +23,8 @@
             override fun onUnrouted(status: Int) = Unit
 
             override fun onRetry(service: String, allowed: Boolean) = Unit
+
+            override fun onServerNotice(kind: String) = Unit
         }
     }
 }
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/backend/Backend.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/backend/Backend.kt
@@ -3,7 +3,6 @@
 import gentiandale.core.ServerKind
 import gentiandale.core.backend.AssignedLoad
 import gentiandale.core.backend.BackendRow
-import gentiandale.core.backend.BackendState
 
 /**
  * A backend server as seen by one entry VM: its [row] and the statistics of requests to it. Confined to one thread.
@@ -85,8 +84,20 @@
     public var unansweredSinceMs: Long? = null
         internal set
 
+    /** Monotonic time in milliseconds until which the server has asked this VM to send no requests. */
+    public var restUntilMs: Long = Long.MIN_VALUE
+        private set
+
+    /** Sends the server no requests until [untilMs]; a shorter rest does not replace a longer one. */
+    public fun rest(untilMs: Long) {
+        restUntilMs = maxOf(restUntilMs, untilMs)
+    }
+
+    /** Returns whether the server has asked this VM to send no requests at [nowMs]. */
+    public fun isResting(nowMs: Long): Boolean = nowMs < restUntilMs
+
     /** Whether the server accepts new work. */
-    public val isReady: Boolean get() = row.state == BackendState.READY
+    public val isReady: Boolean get() = row.acceptsWork
 
     /** Returns whether the server is avoided at [nowMs] if another one is available. */
     public fun isAvoided(nowMs: Long): Boolean = nowMs < avoidUntilMs || nowMs < pausedUntilMs || row.silent
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/backend/BackendRegistry.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/backend/BackendRegistry.kt
@@ -29,9 +29,19 @@
     /** All servers except those that are gone. */
     public val all: Collection<Backend> get() = backends.values
 
-    /** Returns the servers of [service] that accept new work. */
-    public fun ready(service: ServiceName): List<Backend> =
-        backends.values.filter { it.row.service == service && it.isReady }
+    /** Returns the servers of [service] that accept new work at [nowMs]. */
+    public fun ready(service: ServiceName, nowMs: Long): List<Backend> =
+        backends.values.filter { it.row.service == service && it.isReady && !it.isResting(nowMs) }
+
+    /**
+     * Returns the milliseconds from [nowMs] until the first server of [service] has rested, or null if one accepts work
+     * now or none will.
+     */
+    public fun restLeftMs(service: ServiceName, nowMs: Long): Long? {
+        val ready = backends.values.filter { it.row.service == service && it.isReady }
+        val leftMs = ready.minOfOrNull { it.restUntilMs - nowMs } ?: return null
+        return leftMs.takeIf { it > 0 }
+    }
 
     /** Merges [row] and returns the rows that changed. */
     public fun merge(row: BackendRow): List<BackendRow> {
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/caller/HttpServerConnection.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/caller/HttpServerConnection.kt
@@ -71,6 +71,10 @@
         }
     }
 
+    override fun channelWritabilityChanged(ctx: ChannelHandlerContext) {
+        if (channel.isWritable) current?.resume()
+    }
+
     override fun channelInactive(ctx: ChannelHandlerContext) {
         isClosing = true
         timer?.cancel(false)
@@ -205,6 +209,20 @@
 
         override val isOpen: Boolean get() = !isDone && current === this && channel.isActive
 
+        private var whenWritable: (() -> Unit)? = null
+
+        override val isWritable: Boolean get() = !isOpen || channel.isWritable
+
+        override fun onWritable(action: () -> Unit) {
+            whenWritable = action
+        }
+
+        fun resume() {
+            val action = whenWritable
+            whenWritable = null
+            action?.invoke()
+        }
+
         override fun answer(status: Int, headers: HttpHeaders, body: ByteBuf) {
             if (!isOpen) {
                 body.release()
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/caller/HttpServerRequest.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/caller/HttpServerRequest.kt
@@ -23,6 +23,12 @@
     /** Whether the answer can still be sent. */
     public val isOpen: Boolean
 
+    /** Whether the client takes what is sent; otherwise further parts would fill the memory. */
+    public val isWritable: Boolean
+
+    /** Calls [action] once, when the client takes what has been sent. */
+    public fun onWritable(action: () -> Unit)
+
     /** Sends a complete answer and releases [body]. */
     public fun answer(status: Int, headers: HttpHeaders, body: ByteBuf)
 
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/EventSplitter.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/EventSplitter.kt
@@ -7,14 +7,18 @@
  * One server-sent event of a stream.
  *
  * @param id id of the event, or null if it has none.
+ * @param isComment whether it consists of comment lines only, which servers send to keep a connection alive.
  * @param bytes the event including the empty line that ends it; the receiver releases them.
  */
-internal class StreamEvent(val id: Long?, val bytes: ByteBuf)
+internal class StreamEvent(val id: Long?, val isComment: Boolean, val bytes: ByteBuf)
 
 /** Splits the bytes of a stream into whole events and buffers an incomplete event until the rest arrives. */
 internal class EventSplitter {
     private var buffered: ByteBuf = Unpooled.EMPTY_BUFFER
 
+    /** Number of buffered bytes of an incomplete event. */
+    val bufferedBytes: Int get() = buffered.readableBytes()
+
     /** Whether an incomplete event is buffered. */
     val hasPartialEvent: Boolean get() = buffered.isReadable
 
@@ -26,7 +30,8 @@
         var length = eventLength(all)
         while (length > 0) {
             val bytes = all.readRetainedSlice(length)
-            events += StreamEvent(idOf(bytes), bytes)
+            val text = bytes.toString(Charsets.UTF_8)
+            events += StreamEvent(idOf(text), isComment(text), bytes)
             length = eventLength(all)
         }
         buffered = all
@@ -56,7 +61,9 @@
         return 0
     }
 
-    private fun idOf(bytes: ByteBuf): Long? = bytes.toString(Charsets.UTF_8).lineSequence()
+    private fun isComment(event: String) = event.lineSequence().all { it.isBlank() || it.startsWith(COMMENT_PREFIX) }
+
+    private fun idOf(event: String): Long? = event.lineSequence()
         .firstOrNull { it.startsWith(ID_FIELD) }
         ?.substring(ID_FIELD.length)?.trim()?.toLongOrNull()
 
@@ -64,5 +71,6 @@
         const val LINE_FEED = '\n'.code.toByte()
         const val CARRIAGE_RETURN = '\r'.code.toByte()
         const val ID_FIELD = "id:"
+        const val COMMENT_PREFIX = ':'
     }
 }
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/GenerationCall.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/GenerationCall.kt
@@ -3,7 +3,6 @@
 import gentiandale.relay.backend.Backend
 import gentiandale.relay.upstream.SendFailure
 import io.netty.buffer.ByteBuf
-import io.netty.buffer.Unpooled
 import io.netty.handler.codec.http.FullHttpRequest
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpResponse
@@ -47,7 +46,7 @@
 
     private val splitter = EventSplitter()
     private var head: HttpResponse? = null
-    private var body: ByteBuf = Unpooled.EMPTY_BUFFER
+    private val body = AnswerBuffer(MAX_ERROR_BODY_BYTES)
     private var isPrefilling = source == null
     private var sentMs = context.nowMs()
 
@@ -64,15 +63,20 @@
         this.head = head
     }
 
-    override fun onContent(content: ByteBuf) {
-        val answer = head ?: return
-        if (isStream(answer)) {
-            if (isPrefilling) server.onPromptRead(promptTokens.toLong(), context.nowMs() - sentMs)
-            endPrefill()
-            splitter.feed(content).forEach { forward(it, answer) }
-        } else if (body.readableBytes() < MAX_ERROR_BODY_BYTES) {
-            body = Unpooled.wrappedBuffer(body, content.retain())
+    override val bodyTimeoutMs: Long?
+        get() = head?.takeIf { !isStream(it) }?.let { ERROR_BODY_TIMEOUT_MS }
+
+    override fun onContent(content: ByteBuf): BodyVerdict {
+        val answer = head ?: return BodyVerdict.Continue
+        if (!isStream(answer)) {
+            val fits = body.append(content)
+            return if (fits) BodyVerdict.Continue else BodyVerdict.GiveUp("error body over $MAX_ERROR_BODY_BYTES bytes")
         }
+        if (isPrefilling) server.onPromptRead(promptTokens.toLong(), context.nowMs() - sentMs)
+        endPrefill()
+        splitter.feed(content).forEach { forward(it, answer) }
+        if (splitter.bufferedBytes <= MAX_EVENT_BYTES) return BodyVerdict.Continue
+        return BodyVerdict.GiveUp("event over $MAX_EVENT_BYTES bytes")
     }
 
     private fun forward(event: StreamEvent, answer: HttpResponse) {
@@ -81,7 +85,7 @@
             return
         }
         stream.forward(event, answer)
-        listener.onEvent()
+        if (!event.isComment) listener.onEvent()
     }
 
     private fun endPrefill() {
@@ -102,7 +106,7 @@
         if (context.dialect.isNotExecuted(status, answer.headers())) {
             listener.onRejected(this, status)
         } else {
-            listener.onBadAnswer(this, answer, body)
+            listener.onBadAnswer(this, answer, body.content)
         }
         body.release()
     }
@@ -124,7 +128,13 @@
             !answer.headers().contains(HttpHeaderNames.CONTENT_ENCODING)
 
     private companion object {
-        /** An answer that is not a stream is an error message; bytes beyond this size are discarded. */
+        /** An answer that is not a stream is an error message; one beyond this size is given up. */
         const val MAX_ERROR_BODY_BYTES = 65_536
+
+        /** Time in milliseconds for the body of an error, after which the request is worth more elsewhere. */
+        const val ERROR_BODY_TIMEOUT_MS = 500L
+
+        /** Many times the size of an event with a few tokens. */
+        const val MAX_EVENT_BYTES = 262_144
     }
 }
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/GenerationRequestHandler.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/GenerationRequestHandler.kt
@@ -111,7 +111,8 @@
     }
 
     private fun refuseOrFail(reason: String) {
-        if (runState == RunState.NOT_RUN && !stream.hasBegun) refuse(reason, RETRY_AFTER_MS) else fail(reason)
+        val retryMs = context.restLeftMs(routed.service) ?: RETRY_AFTER_MS
+        if (runState == RunState.NOT_RUN && !stream.hasBegun) refuse(reason, retryMs) else fail(reason)
     }
 
     private fun startPrefill(server: Backend) {
@@ -190,6 +191,7 @@
      */
     private fun onEventGap(send: Send, delayMs: Long, waitedMs: Long) {
         if (isOver || currentSend !== send || attempts >= route.maxAttempts) return
+        if (send.isPaused) return watchEvents(send, delayMs, waitedMs)
         val quietMs = send.server.lastByteMs?.let { context.nowMs() - it } ?: Long.MAX_VALUE
         if (quietMs < delayMs && waitedMs < MAX_EVENT_GAP_MS) return watchEvents(send, delayMs, waitedMs)
         if (context.budgetOf(routed.service).remaining(context.nowMs()) <= 0) return
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/KvCache.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/KvCache.kt
@@ -7,16 +7,18 @@
 import io.netty.buffer.ByteBuf
 import io.netty.handler.codec.http.FullHttpRequest
 import io.netty.handler.codec.http.HttpResponse
+import java.util.concurrent.TimeUnit
 
 /** KV cache of the prompt of [request], which [server] keeps under [handle] for a limited time. */
 internal class KvCache(val server: Backend, val handle: String, private val request: String?) {
     /** Frees the cache, which will not be used; if the call fails, the cache expires on its own. */
     fun release(context: RelayContext) {
         val startMs = context.nowMs()
+        if (server.isResting(startMs)) return
         val listener = object : AnswerListener {
             override fun onConnected(): FullHttpRequest = context.dialect.releaseCache(handle)
 
-            override fun onHead(head: HttpResponse) = Unit
+            override fun onHead(head: HttpResponse) = context.readNotices(server, request, head)
 
             override fun onContent(content: ByteBuf) = Unit
 
@@ -29,6 +31,12 @@
                 )
             }
         }
-        context.upstreams.send(server, null, Long.MAX_VALUE, listener)
+        val exchange = context.upstreams.send(server, null, Long.MAX_VALUE, listener)
+        context.loop.schedule(exchange::cancel, TIMEOUT_MS, TimeUnit.MILLISECONDS)
+    }
+
+    private companion object {
+        /** By then the cache has expired anyway. */
+        const val TIMEOUT_MS = 1_000L
     }
 }
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/PlainRequestHandler.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/PlainRequestHandler.kt
@@ -5,7 +5,6 @@
 import gentiandale.relay.routing.Repetition
 import gentiandale.relay.upstream.SendFailure
 import io.netty.buffer.ByteBuf
-import io.netty.buffer.Unpooled
 import io.netty.handler.codec.http.FullHttpRequest
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpStatusClass
@@ -23,7 +22,7 @@
     override fun dispatch() {
         val servers = context.candidates(routed.service).filter { it.row.kind != ServerKind.PREFILL }
         val server = context.plainPlacement.choose(servers, tried, context.nowMs())
-            ?: return if (tried.isEmpty()) refuse("no server", NO_SERVER_RETRY_MS) else refuseOrFail("no other server")
+            ?: return if (tried.isEmpty()) refuse("no server", noServerRetryMs()) else refuseOrFail("no other server")
         if (!takeRetryBudget()) return refuseOrFail("retry budget of ${routed.service.value} exhausted")
         val isOnce = route.repetition == Repetition.AT_MOST_ONCE
         val send = send(server, "run", if (isOnce) MAX_IDLE_MS else Long.MAX_VALUE, Attempt(server))
@@ -40,13 +39,15 @@
         dispatch()
     }
 
+    private fun noServerRetryMs() = context.restLeftMs(routed.service) ?: NO_SERVER_RETRY_MS
+
     private fun refuseOrFail(reason: String) {
         if (runState == RunState.NOT_RUN) refuse(reason, FULL_RETRY_MS) else fail(reason)
     }
 
     private inner class Attempt(private val server: Backend) : SendHandler {
         private var head: HttpResponse? = null
-        private var body: ByteBuf = Unpooled.EMPTY_BUFFER
+        private val body = AnswerBuffer(MAX_BUFFERED_BYTES)
         private var stateBeforeSend = runState
 
         override fun request(): FullHttpRequest {
@@ -60,10 +61,14 @@
             this.head = head
         }
 
-        override fun onContent(content: ByteBuf) {
-            if (hasBegunAnswer) return routed.reply.part(content.retain())
-            body = Unpooled.wrappedBuffer(body, content.retain())
-            if (body.readableBytes() > MAX_BUFFERED_BYTES && isFinal()) beginForwarding()
+        override fun onContent(content: ByteBuf): BodyVerdict {
+            if (!hasBegunAnswer) {
+                if (body.append(content)) return BodyVerdict.Continue
+                if (!isFinal() || !isSuccess()) return BodyVerdict.GiveUp("unusable answer over $MAX_BUFFERED_BYTES bytes")
+                beginForwarding()
+            }
+            routed.reply.part(content.retain())
+            return BodyVerdict.Continue
         }
 
         override fun onEnd() {
@@ -76,7 +81,7 @@
             if (context.dialect.isNotExecuted(status, answer.headers())) return onRejected(status)
             if (!isFinal()) return onBadAnswer(status)
             progress.onPart(context.nowMs())
-            routed.reply.answer(status, answer.headers().endToEnd(), body)
+            routed.reply.answer(status, answer.headers().endToEnd(), body.take())
             finish("answered", status)
         }
 
@@ -111,7 +116,7 @@
             currentSend?.recordFailure("unusable answer: status $status")
             tried += server.row.id
             val answer = head
-            val kept = body
+            val kept = body.take()
             retryOr {
                 if (answer != null && canForward(answer)) {
                     routed.reply.answer(status, answer.headers().endToEnd(), kept.retain())
@@ -138,13 +143,14 @@
             return !failed || !mayRetry()
         }
 
+        private fun isSuccess() = head?.status()?.codeClass() == HttpStatusClass.SUCCESS
+
         private fun beginForwarding() {
             val answer = head ?: return
             hasBegunAnswer = true
             progress.onPart(context.nowMs())
             routed.reply.begin(answer.status().code(), answer.headers().endToEnd())
-            routed.reply.part(body)
-            body = Unpooled.EMPTY_BUFFER
+            routed.reply.part(body.take())
         }
     }
 
@@ -155,7 +161,7 @@
         /** Several times the duration of a plain call; its latency target is missed by then. */
         const val ANSWER_TIMEOUT_MS = 150L
 
-        /** Larger answers are forwarded while they arrive. */
+        /** Larger successes are forwarded while they arrive; larger errors are given up. */
         const val MAX_BUFFERED_BYTES = 262_144
 
         /** Sends that may fail before a byte has left; with one more, the request is given up. */
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/PrefillCall.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/PrefillCall.kt
@@ -3,7 +3,6 @@
 import gentiandale.relay.backend.Backend
 import gentiandale.relay.upstream.SendFailure
 import io.netty.buffer.ByteBuf
-import io.netty.buffer.Unpooled
 import io.netty.handler.codec.http.FullHttpRequest
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpResponse
@@ -36,7 +35,7 @@
     private val queuedTokens = server.load.promptTokens + promptTokens
     private var status = HttpResponseStatus.OK
     private var headers: HttpHeaders? = null
-    private var body: ByteBuf = Unpooled.EMPTY_BUFFER
+    private val body = AnswerBuffer(MAX_BODY_BYTES)
     private var sentMs = context.nowMs()
     private var isPrefilling = true
 
@@ -54,12 +53,13 @@
         headers = head.headers()
     }
 
-    override fun onContent(content: ByteBuf) {
-        if (body.readableBytes() < MAX_BODY_BYTES) body = Unpooled.wrappedBuffer(body, content.retain())
-    }
+    override val bodyTimeoutMs: Long get() = BODY_TIMEOUT_MS
+
+    override fun onContent(content: ByteBuf): BodyVerdict =
+        if (body.append(content)) BodyVerdict.Continue else BodyVerdict.GiveUp("prefill answer over $MAX_BODY_BYTES bytes")
 
     override fun onEnd() {
-        val handle = if (status == HttpResponseStatus.OK) context.dialect.prefillHandle(body) else null
+        val handle = if (status == HttpResponseStatus.OK) context.dialect.prefillHandle(body.content) else null
         release()
         if (handle == null) {
             val isRejected = headers?.let { context.dialect.isNotExecuted(status.code(), it) } ?: false
@@ -76,7 +76,6 @@
 
     override fun release() {
         body.release()
-        body = Unpooled.EMPTY_BUFFER
         if (!isPrefilling) return
         isPrefilling = false
         server.promptTokens -= promptTokens
@@ -86,5 +85,8 @@
     private companion object {
         /** The answer contains a handle and little else. */
         const val MAX_BODY_BYTES = 65_536
+
+        /** The KV cache expires within about half a second, so a handle that comes later is of no use. */
+        const val BODY_TIMEOUT_MS = 500L
     }
 }
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/RelayContext.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/RelayContext.kt
@@ -2,6 +2,7 @@
 
 import gentiandale.core.backend.ServiceName
 import gentiandale.core.log.EventLog
+import gentiandale.relay.RelayEvent
 import gentiandale.relay.RelayListener
 import gentiandale.relay.RelayStats
 import gentiandale.relay.backend.Backend
@@ -9,10 +10,13 @@
 import gentiandale.relay.placement.AnswerLengthEstimator
 import gentiandale.relay.placement.GenerationPlacement
 import gentiandale.relay.placement.PlainPlacement
+import gentiandale.relay.placement.RestPolicy
 import gentiandale.relay.placement.RetryBudget
 import gentiandale.relay.upstream.Dialect
 import gentiandale.relay.upstream.Upstreams
 import io.netty.channel.EventLoop
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpResponse
 import kotlin.random.Random
 
 /** Policies for placement and retries, which can be tested without a network. */
@@ -28,6 +32,7 @@
 internal class RelayContext(
     val loop: EventLoop,
     val nowMs: () -> Long,
+    val wallMs: () -> Long,
     val registry: BackendRegistry,
     val upstreams: Upstreams,
     val dialect: Dialect,
@@ -46,5 +51,28 @@
     fun budgetOf(service: ServiceName): RetryBudget = policies.budgetOf(service)
 
     /** Returns the servers of [service] that accept work. */
-    fun candidates(service: ServiceName): List<Backend> = registry.ready(service)
+    fun candidates(service: ServiceName): List<Backend> = registry.ready(service, nowMs())
+
+    /** Returns the milliseconds until a server of [service] accepts work again if all rest now, or null. */
+    fun restLeftMs(service: ServiceName): Long? = registry.restLeftMs(service, nowMs())
+
+    /** Reads what the [head] of an answer to [request] says about [server] itself. */
+    fun readNotices(server: Backend, request: String?, head: HttpResponse) {
+        if (dialect.isLeaving(head.headers()) && !server.row.departing) {
+            val row = server.row.copy(departing = true)
+            registry.merge(row)
+            listener.onDeparting(row)
+            noteServer(request, server, "leaving", null)
+        }
+        val retryAfter = head.headers().get(HttpHeaderNames.RETRY_AFTER)
+        val date = head.headers().get(HttpHeaderNames.DATE)
+        val restMs = RestPolicy.restMs(head.status().code(), retryAfter, date, wallMs()) ?: return
+        server.rest(nowMs() + restMs)
+        noteServer(request, server, "rest", restMs)
+    }
+
+    private fun noteServer(request: String?, server: Backend, kind: String, restMs: Long?) {
+        log.write(RelayEvent.ServerNotice(request, server.row, kind, restMs))
+        stats.onServerNotice(kind)
+    }
 }
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/RequestHandler.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/RequestHandler.kt
@@ -221,7 +221,11 @@
         private var timer: ScheduledFuture<*>? = null
         private var isDone = false
 
-        /** Schedules [action] in [delayMs] milliseconds; it does not run if the answer has begun by then. */
+        /** Whether reading stopped because the caller does not take what has been forwarded. */
+        var isPaused = false
+            private set
+
+        /** Schedules [action] in [delayMs] milliseconds; the head or the end of the answer cancels it. */
         fun ifUnanswered(delayMs: Long, action: () -> Unit) {
             timer?.cancel(false)
             timer = context.loop.schedule({ if (!isDone) action() }, delayMs, TimeUnit.MILLISECONDS)
@@ -251,7 +255,7 @@
 
         override fun onConnected(): FullHttpRequest? {
             if (isDone || isOver) return null
-            if (!server.isReady || leftMs() <= 0) {
+            if (!server.isReady || server.isResting(context.nowMs()) || leftMs() <= 0) {
                 onFailure(SendFailure.NotSent("server no longer accepts work or the deadline has passed"))
                 return null
             }
@@ -266,12 +270,36 @@
             sentMs?.let { server.onAnswer(context.nowMs() - it) }
             if (!context.dialect.isNotExecuted(head.status().code(), head.headers())) server.onAccepted()
             server.unansweredSinceMs = null
+            context.readNotices(server, routed.id, head)
             handler.onHead(head)
+            val timeoutMs = handler.bodyTimeoutMs ?: return
+            ifUnanswered(timeoutMs) { giveUp("answer incomplete $timeoutMs ms after its head") }
         }
 
         override fun onContent(content: ByteBuf) {
             server.lastByteMs = context.nowMs()
-            if (!isDone) handler.onContent(content)
+            if (isDone) return
+            when (val verdict = handler.onContent(content)) {
+                is BodyVerdict.Continue -> pauseIfCallerIsSlow()
+                is BodyVerdict.GiveUp -> giveUp(verdict.reason)
+            }
+        }
+
+        /** Closes the connection of an answer that is not read to its end. */
+        private fun giveUp(reason: String) {
+            exchange?.cancel()
+            onFailure(SendFailure.Broken(reason))
+        }
+
+        /** Stops reading while the caller does not take what has been forwarded, so that memory stays bounded. */
+        private fun pauseIfCallerIsSlow() {
+            if (isDone || routed.reply.isWritable) return
+            isPaused = true
+            exchange?.setReading(false)
+            routed.reply.onWritable {
+                isPaused = false
+                exchange?.setReading(true)
+            }
         }
 
         override fun onEnd() {
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/SendHandler.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/SendHandler.kt
@@ -5,8 +5,20 @@
 import io.netty.handler.codec.http.FullHttpRequest
 import io.netty.handler.codec.http.HttpResponse
 
+/** Whether the rest of an answer is read. */
+internal sealed interface BodyVerdict {
+    /** The rest is read. */
+    data object Continue : BodyVerdict
+
+    /** The answer is given up because of [reason]. */
+    data class GiveUp(val reason: String) : BodyVerdict
+}
+
 /** Handles the answer to one send of a request to one server. */
 internal interface SendHandler {
+    /** Time in milliseconds from the head to the end of the answer; null if only the request's deadline applies. */
+    val bodyTimeoutMs: Long? get() = null
+
     /** Returns the HTTP request to write. */
     fun request(): FullHttpRequest
 
@@ -14,7 +26,7 @@
     fun onHead(head: HttpResponse)
 
     /** Called with a part of the body. */
-    fun onContent(content: ByteBuf)
+    fun onContent(content: ByteBuf): BodyVerdict
 
     /** Called at the end of a complete answer. */
     fun onEnd()
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/upstream/DirectClient.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/upstream/DirectClient.kt
@@ -6,14 +6,20 @@
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.SimpleChannelInboundHandler
 import io.netty.channel.socket.SocketChannel
+import io.netty.handler.codec.http.EmptyHttpHeaders
 import io.netty.handler.codec.http.FullHttpRequest
 import io.netty.handler.codec.http.FullHttpResponse
 import io.netty.handler.codec.http.HttpClientCodec
+import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpObjectAggregator
 import java.util.concurrent.TimeUnit
 
-/** Answer to a call of a [DirectClient]; [status] is null if none arrived. */
-public class DirectAnswer(public val status: Int?, public val body: String)
+/** Answer to a call of a [DirectClient]; [status] is null and there are no [headers] if none arrived. */
+public class DirectAnswer(
+    public val status: Int?,
+    public val body: String,
+    public val headers: HttpHeaders = EmptyHttpHeaders.INSTANCE,
+)
 
 /** HTTP client for calls of this system itself, each on a connection of its own. */
 public class DirectClient(private val transport: Transport) {
@@ -27,7 +33,7 @@
         })
         bootstrap.connect(address.host, address.port).addListener { connected ->
             val channel = (connected as ChannelFuture).channel()
-            if (!connected.isSuccess) return@addListener handler.end(null, "")
+            if (!connected.isSuccess) return@addListener handler.end(DirectAnswer(null, ""))
             channel.writeAndFlush(request)
             transport.loop.schedule({ channel.close() }, timeoutMs, TimeUnit.MILLISECONDS)
         }
@@ -36,18 +42,18 @@
     private class Handler(private val done: (DirectAnswer) -> Unit) : SimpleChannelInboundHandler<FullHttpResponse>() {
         private var isDone = false
 
-        fun end(status: Int?, body: String) {
+        fun end(answer: DirectAnswer) {
             if (isDone) return
             isDone = true
-            done(DirectAnswer(status, body))
+            done(answer)
         }
 
         override fun channelRead0(ctx: ChannelHandlerContext, answer: FullHttpResponse) {
-            end(answer.status().code(), answer.content().toString(Charsets.UTF_8))
+            end(DirectAnswer(answer.status().code(), answer.content().toString(Charsets.UTF_8), answer.headers()))
             ctx.close()
         }
 
-        override fun channelInactive(ctx: ChannelHandlerContext) = end(null, "")
+        override fun channelInactive(ctx: ChannelHandlerContext) = end(DirectAnswer(null, ""))
 
         override fun exceptionCaught(ctx: ChannelHandlerContext, cause: Throwable) {
             ctx.close()
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/upstream/Exchange.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/upstream/Exchange.kt
@@ -45,6 +45,11 @@
     public var isSent: Boolean = false
         internal set
 
+    /** Stops or resumes reading the answer. */
+    public fun setReading(enabled: Boolean) {
+        if (!isOver) connection?.setReading(enabled)
+    }
+
     /** Cancels the exchange: closes its connection, so that the server stops, and silences the listener. */
     public fun cancel() {
         if (isOver) return
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/upstream/UpstreamConnection.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/upstream/UpstreamConnection.kt
@@ -16,7 +16,8 @@
 
 /**
  * One connection to a backend server, which carries one request at a time. Answers with the id of another request are
- * read and discarded. A connection with such an answer, surplus bytes or a malformed answer is not reused.
+ * read and discarded, and that connection is not reused. Surplus bytes or a malformed answer close it at once, since
+ * they may have no end.
  */
 internal class UpstreamConnection(
     private val channel: Channel,
@@ -31,6 +32,7 @@
     private var isReset = false
     private var isTainted = false
     private var sentCount = 0
+    private var interimCount = 0
 
     /** Time in milliseconds for which the server keeps an idle connection open. */
     private var idleTimeoutMs = DEFAULT_IDLE_MS
@@ -55,6 +57,7 @@
         isRequestWritten = false
         isAnswerComplete = false
         sentCount++
+        interimCount = 0
         decoder?.isBodyless = request.method() == HttpMethod.HEAD
         channel.writeAndFlush(request).addListener {
             isRequestWritten = it.isSuccess
@@ -62,6 +65,10 @@
         }
     }
 
+    fun setReading(enabled: Boolean) {
+        channel.config().isAutoRead = enabled
+    }
+
     fun close() {
         isTainted = true
         channel.close()
@@ -79,7 +86,7 @@
         val current = exchange?.takeIf { !isAnswerComplete }
         when {
             message.decoderResult().isFailure -> fail("malformed answer: ${message.decoderResult().cause()?.message}")
-            current == null -> isTainted = true
+            current == null -> close()
             message is HttpResponse -> readHead(current, message)
             else -> Unit
         }
@@ -88,7 +95,10 @@
 
     private fun readHead(current: Exchange, head: HttpResponse) {
         isInterimAnswer = head.status().codeClass() == HttpStatusClass.INFORMATIONAL
-        if (isInterimAnswer) return
+        if (isInterimAnswer) {
+            if (++interimCount > MAX_INTERIM_ANSWERS) fail("more than $MAX_INTERIM_ANSWERS interim answers")
+            return
+        }
         val answerId = dialect.requestId(head.headers())
         val mayOmitId = answerId == null && sentCount == 1 && head.status().codeClass() != HttpStatusClass.SUCCESS
         isForeignAnswer = current.requestId != null && answerId != current.requestId && !mayOmitId
@@ -160,6 +170,8 @@
     }
 
     private companion object {
+        /** Interim answers before the final one; servers send one or two. */
+        const val MAX_INTERIM_ANSWERS = 8
         const val KEEP_ALIVE = "Keep-Alive"
         const val MS_PER_S = 1_000L
 
--- a/gentiandale-relay/src/test/kotlin/gentiandale/relay/FakeServer.kt
+++ b/gentiandale-relay/src/test/kotlin/gentiandale/relay/FakeServer.kt
@@ -78,9 +78,9 @@
             reply(socket, request, "", status = "503 Full", extra = "not-executed: 1\r\n")
 
         /** Writes the head of an event stream. */
-        fun begin(socket: Socket, request: RawRequest) {
+        fun begin(socket: Socket, request: RawRequest, extra: String = "") {
             val id = request.header("id")
-            val head = "HTTP/1.1 200 OK\r\nid: $id\r\nsigned: 1\r\ntransfer-encoding: chunked\r\n\r\n"
+            val head = "HTTP/1.1 200 OK\r\nid: $id\r\nsigned: 1\r\n${extra}transfer-encoding: chunked\r\n\r\n"
             socket.getOutputStream().write(head.toByteArray())
         }
 
--- a/gentiandale-relay/src/test/kotlin/gentiandale/relay/RelayFixture.kt
+++ b/gentiandale-relay/src/test/kotlin/gentiandale/relay/RelayFixture.kt
@@ -5,6 +5,7 @@
 import gentiandale.core.ServerKind
 import gentiandale.core.SystemClock
 import gentiandale.core.backend.AssignedLoad
+import gentiandale.core.backend.BackendRow
 import gentiandale.core.log.EventLog
 import gentiandale.relay.caller.HttpServer
 import gentiandale.relay.routing.EngineRule
@@ -16,6 +17,7 @@
 import gentiandale.relay.routing.TrafficShare
 import gentiandale.relay.upstream.Transport
 import java.net.Socket
+import java.util.concurrent.CopyOnWriteArrayList
 
 /** A relay on the loopback interface with its own event loop; it logs to [log]. */
 class RelayFixture(limits: HttpServerLimits = HttpServerLimits(), log: EventLog = EventLog.NONE) : AutoCloseable {
@@ -49,6 +51,11 @@
         return fake
     }
 
+    /** Merges [row], as from a control VM. */
+    fun merge(row: BackendRow) {
+        transport.loop.submit { relay.merge(row) }.get()
+    }
+
     /** Reports to the relay that other VMs hold [memoryTokens] at the server [id]. */
     fun reportPeerLoad(id: String, memoryTokens: Long) {
         updatePeerLoad(AssignedLoad(ServerId(id), running = 1, memoryTokens = memoryTokens))
@@ -68,11 +75,18 @@
     @Volatile
     var onConfirm: () -> Unit = {}
 
+    /** Rows of servers that the relay reported as departing. */
+    val departed = CopyOnWriteArrayList<BackendRow>()
+
     private inner class Listener : RelayListener {
         override fun onLoadChanged() = Unit
 
         override fun onSuspect(server: ServerId) = Unit
 
+        override fun onDeparting(row: BackendRow) {
+            departed += row
+        }
+
         override fun confirmLoad(done: () -> Unit) {
             onConfirm()
             onConfirm = {}
--- a/gentiandale-relay/src/test/kotlin/gentiandale/relay/TestDialect.kt
+++ b/gentiandale-relay/src/test/kotlin/gentiandale/relay/TestDialect.kt
@@ -43,6 +43,8 @@
 
     override fun isNotExecuted(status: Int, headers: HttpHeaders): Boolean = headers.contains("not-executed")
 
+    override fun isLeaving(headers: HttpHeaders): Boolean = headers.contains("leaving")
+
     override fun isSigned(headers: HttpHeaders): Boolean = headers.contains("signed")
 
     override fun prefillHandle(body: ByteBuf): String? = body.toString(Charsets.UTF_8).takeIf { it.startsWith("h") }
