Learn the reading speed of engines in place of the first site's

The relay assumed 45 and 22 tokens/ms, the speeds of the first site, until a VM had many samples of its own for each server.

Change: one estimate for each service and stage, the median of the last prompts; entry VMs exchange it through the control VMs, so that a VM with few requests has it too; a server's own deviation is kept. Until one is known it is low. The limit of the backlog is a time, not a number of tokens, and a prompt may pause other answers for 0.7 of the gap that the route states.

--- a/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/ControlHub.kt
+++ b/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/ControlHub.kt
@@ -7,6 +7,7 @@
 import gentiandale.core.backend.BackendRow
 import gentiandale.core.backend.BackendState
 import gentiandale.core.backend.BackendTable
+import gentiandale.core.backend.ReadSpeed
 import gentiandale.core.backend.ServiceName
 import gentiandale.core.log.EventLog
 import gentiandale.state.Document
@@ -31,7 +32,9 @@
     private val log: EventLog,
     private val silenceMs: Long,
 ) {
-    private class Peer(var version: Long, var digest: Long, var seenMs: Long, var tableMs: Long = Long.MIN_VALUE / 2)
+    private class Peer(var version: Long, var digest: Long, var seenMs: Long, var tableMs: Long = Long.MIN_VALUE / 2) {
+        var speeds = emptyList<ReadSpeed>()
+    }
 
     private val controlVms = ControlVmRegistry(self, log)
     private val table = BackendTable()
@@ -163,7 +166,10 @@
         val entry = entries.getOrPut(from) { Peer(0, 0, now) }
         entry.seenMs = now
         entry.version = message.version
-        sender.send(from, notice())
+        message.speeds?.let { entry.speeds = it }
+        // An entry VM that sends its speeds gets those of all.
+        val speeds = message.speeds?.let { ReadSpeed.combine(entries.values.flatMap(Peer::speeds)) }
+        sender.send(from, notice().copy(speeds = speeds?.ifEmpty { null }))
         sendFullTable(from, entry, message.digest, now)
     }
 
--- a/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/FleetMessage.kt
+++ b/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/FleetMessage.kt
@@ -4,6 +4,7 @@
 import gentiandale.core.VmId
 import gentiandale.core.backend.AssignedLoad
 import gentiandale.core.backend.BackendRow
+import gentiandale.core.backend.ReadSpeed
 import gentiandale.state.Document
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
@@ -16,10 +17,15 @@
      *
      * @param version version of the sender's configuration; 0 if it has none.
      * @param digest digest of the sender's table of backend servers.
+     * @param speeds speeds at which engines have read prompts of the sender; null if they are not part of this message.
      */
     @Serializable
     @SerialName("s")
-    public data class Subscribe(val version: Long, val digest: Long) : FleetMessage
+    public data class Subscribe(
+        val version: Long,
+        val digest: Long,
+        val speeds: List<ReadSpeed>? = null,
+    ) : FleetMessage
 
     /**
      * Status that a control VM sends to its subscribers.
@@ -27,10 +33,17 @@
      * @param version highest configuration version that the sender knows to be accepted; 0 if there is none.
      * @param controls control VMs that the sender has heard from recently.
      * @param entries number of entry VMs that have subscribed to the sender recently.
+     * @param speeds speeds at which engines read prompts, as observed by these VMs; null if they are not part of this
+     *   message.
      */
     @Serializable
     @SerialName("n")
-    public data class Notice(val version: Long, val controls: List<VmId>, val entries: Int) : FleetMessage
+    public data class Notice(
+        val version: Long,
+        val controls: List<VmId>,
+        val entries: Int,
+        val speeds: List<ReadSpeed>? = null,
+    ) : FleetMessage
 
     /**
      * Periodic state exchange between control VMs.
--- a/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/FleetSubscriber.kt
+++ b/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/FleetSubscriber.kt
@@ -5,6 +5,7 @@
 import gentiandale.core.VmId
 import gentiandale.core.backend.AssignedLoad
 import gentiandale.core.backend.BackendRow
+import gentiandale.core.backend.ReadSpeed
 import gentiandale.core.log.EventLog
 import gentiandale.state.Document
 
@@ -31,6 +32,12 @@
     /** Stops placing work on the engine [server] for [forMs] milliseconds. */
     public fun pause(server: ServerId, forMs: Long)
 
+    /** Speeds at which engines have read prompts of this VM. */
+    public val readSpeeds: List<ReadSpeed>
+
+    /** Sets the speeds at which engines have read prompts of all entry VMs. */
+    public fun updateReadSpeeds(speeds: List<ReadSpeed>)
+
     /** Updates the load that the other entry VMs have placed on engines. */
     public fun updatePeerLoads(loads: List<AssignedLoad>)
 }
@@ -54,6 +61,7 @@
     private var reportedTo: VmId? = null
     private var hasReportedLoad = false
     private var lastQuestion = 0L
+    private var tickCount = 0
     private val pendingConfirmations = ArrayList<PendingConfirmation>()
 
     private class PendingConfirmation(val number: Long, val done: () -> Unit)
@@ -73,7 +81,8 @@
     /** Sends the periodic messages. Must be called every [ControlHub.TICK_MS] milliseconds. */
     public fun tick() {
         controlVms.tick(clock.monotonicMs())
-        val message = FleetMessage.Subscribe(state.version, state.digest)
+        val speeds = if (tickCount++ % SPEED_TICKS == 0) state.readSpeeds else null
+        val message = FleetMessage.Subscribe(state.version, state.digest, speeds)
         controlVms.all.forEach { sender.send(it, message) }
         reportLoad()
     }
@@ -143,6 +152,7 @@
         lastNoticeMs = now
         controlVms.onMessage(from, notice.controls, now)
         state.setEntryCount(notice.entries)
+        notice.speeds?.let(state::updateReadSpeeds)
         if (notice.version > state.version && now - lastFetchMs > FETCH_RETRY_MS) {
             lastFetchMs = now
             sender.send(from, FleetMessage.Fetch(state.version))
@@ -165,6 +175,9 @@
         /** An unanswered fetch is repeated, at whichever VM announces the version next, after this time. */
         const val FETCH_RETRY_MS = 200L
 
+        /** Speeds change slowly, so that only one message in this many carries them. */
+        const val SPEED_TICKS = 4
+
         /** Servers send a heartbeat about every second; after two of them every reachable server is known. */
         const val SETTLE_TIME_MS = 2_500L
     }
--- a/gentiandale-fleet/src/test/kotlin/gentiandale/fleet/FleetPropagationTest.kt
+++ b/gentiandale-fleet/src/test/kotlin/gentiandale/fleet/FleetPropagationTest.kt
@@ -11,6 +11,7 @@
 import gentiandale.core.backend.BackendRow
 import gentiandale.core.backend.BackendState
 import gentiandale.core.backend.BackendTable
+import gentiandale.core.backend.ReadSpeed
 import gentiandale.core.backend.ServiceName
 import gentiandale.core.log.EventLog
 import gentiandale.state.Document
@@ -43,6 +44,13 @@
             peerLoads = peerLoads + loads.associateBy { it.id }
         }
 
+        override var readSpeeds = emptyList<ReadSpeed>()
+        var sharedSpeeds = emptyList<ReadSpeed>()
+
+        override fun updateReadSpeeds(speeds: List<ReadSpeed>) {
+            sharedSpeeds = speeds
+        }
+
         override fun pause(server: ServerId, forMs: Long) = Unit
     }
 
@@ -97,6 +105,29 @@
         }
     }
 
+    @Nested
+    inner class Speeds {
+        private fun speed(tokensPerMs: Double, samples: Int) =
+            ReadSpeed(ServiceName("e"), ServerKind.PREFILL, tokensPerMs, samples)
+
+        @Test
+        fun `observed by one entry VM are known to all, whichever control VM they reach`() {
+            entries[0].readSpeeds = listOf(speed(31.0, 4))
+            controls.drop(1).forEach { cut += setOf(it, entries[2].id) }
+            advance(5_000)
+            assertEquals(List(3) { listOf(speed(31.0, 4)) }, entries.map { it.sharedSpeeds })
+        }
+
+        @Test
+        fun `are the median of all samples, so that one wrong VM has little weight`() {
+            entries[0].readSpeeds = listOf(speed(3.0, 2))
+            entries[1].readSpeeds = listOf(speed(31.0, 9))
+            entries[2].readSpeeds = listOf(speed(33.0, 8))
+            advance(5_000)
+            assertEquals(listOf(speed(31.0, 19)), entries[0].sharedSpeeds)
+        }
+    }
+
     @Nested
     inner class Departure {
         @Test
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/Relay.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/Relay.kt
@@ -6,6 +6,7 @@
 import gentiandale.core.ServerKind
 import gentiandale.core.backend.AssignedLoad
 import gentiandale.core.backend.BackendRow
+import gentiandale.core.backend.ReadSpeed
 import gentiandale.core.backend.ServiceName
 import gentiandale.core.log.EventLog
 import gentiandale.relay.backend.Backend
@@ -134,6 +135,14 @@
         context.queue.admit()
     }
 
+    /** Speeds at which engines have read prompts of this VM. */
+    public val readSpeeds: List<ReadSpeed> get() = registry.speeds.local
+
+    /** Sets the speeds at which engines have read prompts of all VMs. */
+    public fun updateReadSpeeds(speeds: List<ReadSpeed>) {
+        registry.speeds.setShared(speeds)
+    }
+
     private fun scheduleLoadReport() {
         if (isReportScheduled) return
         isReportScheduled = true
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/backend/Backend.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/backend/Backend.kt
@@ -1,13 +1,12 @@
 package gentiandale.relay.backend
 
-import gentiandale.core.ServerKind
 import gentiandale.core.backend.AssignedLoad
 import gentiandale.core.backend.BackendRow
 
 /**
  * A backend server as seen by one entry VM: its [row] and the statistics of requests to it. Confined to one thread.
  */
-public class Backend(row: BackendRow) {
+public class Backend(row: BackendRow, private val speeds: ReadSpeeds = ReadSpeeds()) {
     /** Latest state that the server has reported. */
     public var row: BackendRow = row
         private set
@@ -57,9 +56,10 @@
         reservations -= memory
     }
 
-    /** Smoothed prefill speed in tokens per millisecond. */
-    public var tokensPerMs: Double = if (row.kind == ServerKind.PREFILL) PREFILL_TOKENS_PER_MS else DECODE_TOKENS_PER_MS
-        private set
+    private var relativeSpeed = 1.0
+
+    /** Estimated prefill speed in tokens per millisecond: that of its service, adjusted by its own last prompts. */
+    public val tokensPerMs: Double get() = speeds.of(row.service, row.kind) * relativeSpeed
 
     /** Smoothed time in milliseconds from sending a request to the head of its answer. */
     public var latencyMs: Double = INITIAL_LATENCY_MS
@@ -111,7 +111,7 @@
     internal fun update(newer: BackendRow) {
         if (newer.kind != row.kind) {
             pausedUntilMs = Long.MIN_VALUE
-            tokensPerMs = if (newer.kind == ServerKind.PREFILL) PREFILL_TOKENS_PER_MS else DECODE_TOKENS_PER_MS
+            relativeSpeed = 1.0
         }
         row = newer
     }
@@ -126,7 +126,9 @@
     /** Records that the server has read [tokens] prompt tokens in [elapsedMs] milliseconds, beside other work. */
     public fun onPromptRead(tokens: Long, elapsedMs: Long) {
         if (elapsedMs <= 0 || tokens < MIN_MEASURED_TOKENS) return
-        tokensPerMs += SPEED_WEIGHT * (tokens.toDouble() / elapsedMs - tokensPerMs)
+        val speed = tokens.toDouble() / elapsedMs
+        speeds.observe(row.service, row.kind, speed)
+        relativeSpeed += SPEED_WEIGHT * (speed / speeds.of(row.service, row.kind) - relativeSpeed)
     }
 
     /** Records a failure of the server or its connection at [nowMs], and avoids it for a while. */
@@ -156,10 +158,6 @@
         const val FAILURE_WEIGHT = 0.2
         const val SPEED_WEIGHT = 0.1
 
-        /** Initial estimates; a decode server reads prompts at half the speed of a prefill server. */
-        const val PREFILL_TOKENS_PER_MS = 45.0
-        const val DECODE_TOKENS_PER_MS = 22.0
-
         /** Reading a shorter prompt takes less time than the call itself, so that it says nothing about the speed. */
         const val MIN_MEASURED_TOKENS = 500L
 
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/backend/BackendRegistry.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/backend/BackendRegistry.kt
@@ -11,6 +11,9 @@
     private val table = BackendTable()
     private val backends = HashMap<ServerId, Backend>()
 
+    /** Speeds at which engines read prompts. */
+    public val speeds: ReadSpeeds = ReadSpeeds()
+
     /** Called with a server that has restarted or moved, so that its connections can be closed. */
     public var onReplaced: (Backend) -> Unit = {}
 
@@ -59,7 +62,7 @@
         if (row.state == BackendState.GONE) {
             backends.remove(row.id)?.update(row)
         } else {
-            backends.getOrPut(row.id) { Backend(row) }.update(row)
+            backends.getOrPut(row.id) { Backend(row, speeds) }.update(row)
         }
     }
 }
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/placement/GenerationPlacement.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/placement/GenerationPlacement.kt
@@ -31,22 +31,27 @@
  * answers meanwhile.
  */
 public class GenerationPlacement(private val localDataCentre: DataCentreId, private val random: Random) {
-    /** Plans where to run a generation with [need] among [candidates], without those in [excluded]. */
+    /**
+     * Plans where to run a generation with [need] among [candidates], without those in [excluded].
+     *
+     * @param maxGapMs longest gap between two events in milliseconds that callers accept.
+     */
     public fun plan(
         candidates: List<Backend>,
         excluded: Set<ServerId>,
         need: GenerationMemory,
         engine: EngineRule?,
         nowMs: Long,
+        maxGapMs: Long = DEFAULT_GAP_MS,
     ): GenerationPlan {
         val (prefills, decodes) = usableServers(candidates, excluded, nowMs)
             .partition { it.row.kind == ServerKind.PREFILL }
         if (decodes.isEmpty()) return GenerationPlan.NoServer
         val ready = prefills.filter { !it.isAvoided(nowMs) }
-        val prefill = ready.filter { it.load.promptTokens <= MAX_BACKLOG_TOKENS }
+        val prefill = ready.filter { it.load.promptTokens <= backlogLimit(it) }
             .minByOrNull { prefillMs(it, need.promptTokens) }
         val eligible =
-            if (prefill == null) selfPrefillServers(decodes, need, hasPrefill = ready.isNotEmpty()) else decodes
+            if (prefill == null) selfPrefillServers(decodes, need, maxGapMs, ready.isNotEmpty()) else decodes
         val decode = leastLoaded(eligible, need, engine) ?: return GenerationPlan.NoCapacity
         return GenerationPlan.Placement(decode, prefill)
     }
@@ -54,14 +59,21 @@
     /**
      * Returns the decode servers that may read the prompt of [need] themselves. Each reads one prompt at a time, since
      * its chunks delay the answers on the same server, and two prompts would delay them too long. If prefill servers
-     * are available but overloaded, a long prompt waits for them.
+     * are available but overloaded, a prompt waits for them if it would delay other answers by more than [maxGapMs].
      */
-    private fun selfPrefillServers(decodes: List<Backend>, need: GenerationMemory, hasPrefill: Boolean): List<Backend> =
-        decodes.filter {
-            val load = it.load
-            val isShort = need.tokens / it.tokensPerMs <= MAX_SHORT_PREFILL_MS
-            load.promptTokens == 0L && (load.running == 0 || isShort || !hasPrefill)
-        }
+    private fun selfPrefillServers(
+        decodes: List<Backend>,
+        need: GenerationMemory,
+        maxGapMs: Long,
+        hasPrefill: Boolean,
+    ): List<Backend> = decodes.filter {
+        val load = it.load
+        val isShort = need.tokens / it.tokensPerMs <= maxGapMs * MAX_PAUSE_SHARE
+        load.promptTokens == 0L && (load.running == 0 || isShort || !hasPrefill)
+    }
+
+    /** Returns the backlog in prompt tokens above which [prefill] would read further prompts too late. */
+    private fun backlogLimit(prefill: Backend): Long = (prefill.tokensPerMs * MAX_BACKLOG_MS).toLong()
 
     /** Returns a decode server for a prompt that has been read, if need be the least loaded full one, or null. */
     public fun chooseDecode(
@@ -83,7 +95,7 @@
         nowMs: Long,
     ): Boolean {
         val peerPromptTokens = (plan.prefill ?: plan.decode).load.promptTokens - promptTokens
-        val limit = if (plan.prefill == null) 0L else MAX_BACKLOG_TOKENS
+        val limit = plan.prefill?.let(::backlogLimit) ?: 0
         return peerPromptTokens <= limit && stillFits(plan.decode, engine, nowMs)
     }
 
@@ -154,10 +166,16 @@
         /** Weight of the failure rate: a failed attempt costs the time of another one. */
         const val FAILURE_FACTOR = 4.0
 
-        /** Prompts queued beyond this backlog would be read too late, and their KV caches would fill the memory. */
-        const val MAX_BACKLOG_TOKENS = 20_000L
+        /**
+         * Backlog in milliseconds of reading above which further prompts would be read too late, and their KV caches
+         * would fill the memory.
+         */
+        const val MAX_BACKLOG_MS = 450.0
+
+        /** Longest gap in milliseconds where a route states none. */
+        const val DEFAULT_GAP_MS = 300L
 
-        /** A prompt read within this time delays the next event of other answers on the server by less than 300 ms. */
-        const val MAX_SHORT_PREFILL_MS = 230.0
+        /** Share of the longest gap that a prompt may pause other answers; the rest is the usual time between events. */
+        const val MAX_PAUSE_SHARE = 0.7
     }
 }
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/GenerationRequestHandler.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/GenerationRequestHandler.kt
@@ -60,10 +60,9 @@
         val now = context.nowMs()
         val excluded = if (prefillCount < MAX_PREFILL_CALLS) tried else tried + prefillServers()
         val engineRule = if (context.queue.isLate(queued)) engine?.forLateWork() else engine
-        when (
-            val plan =
-                context.generationPlacement.plan(context.candidates(routed.service), excluded, need, engineRule, now)
-        ) {
+        val candidates = context.candidates(routed.service)
+        val gapMs = route.maxGapMs.takeIf { it > 0 } ?: DEFAULT_GAP_MS
+        when (val plan = context.generationPlacement.plan(candidates, excluded, need, engineRule, now, gapMs)) {
             is GenerationPlan.NoCapacity -> return false
             is GenerationPlan.NoServer -> refuseOrFail("no decode server available")
             is GenerationPlan.Placement -> {
@@ -305,6 +304,9 @@
         /** Used for a request that does not state its size. */
         val DEFAULT_SIZE = GenerationSize(prompt = 1_000, answer = 100, expected = 100)
 
+        /** Longest gap between two events where the route states none. */
+        const val DEFAULT_GAP_MS = 300L
+
         /** Reservations that a request drops because of conflicts before it goes ahead in spite of one. */
         const val MAX_CONFLICTS = 4
 
@@ -318,7 +320,7 @@
         const val PREFILL_TIMEOUT_FACTOR = 2.0
 
         /** Upper bound of the prefill timeout in milliseconds, since the caller waits for the first event. */
-        const val MAX_PREFILL_MS = 700L
+        const val MAX_PREFILL_MS = 1_200L
 
         /** Time in milliseconds for the connection, the round trip and the engine step that is running. */
         const val PREFILL_CALL_MARGIN_MS = 150L
