--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/Relay.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/Relay.kt
@@ -67,8 +67,7 @@
     private var shutdown: ShutdownWindow? = null
     private val context = RelayContext(
         loop = transport.loop,
-        nowMs = clock::monotonicMs,
-        wallMs = clock::wallMs,
+        clock = clock,
         registry = registry,
         upstreams = upstreams,
         dialect = dialect,
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/placement/GenerationPlacement.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/placement/GenerationPlacement.kt
@@ -175,7 +175,7 @@
         /** Longest gap in milliseconds where a route states none. */
         const val DEFAULT_GAP_MS = 300L
 
-        /** Share of the longest gap that a prompt may pause other answers; the rest is the usual time between events. */
-        const val MAX_PAUSE_SHARE = 0.7
+        /** Share of the longest gap for which a prompt may pause other answers; busy engines need the rest anyway. */
+        const val MAX_PAUSE_SHARE = 0.5
     }
 }
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/PlainRequestHandler.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/PlainRequestHandler.kt
@@ -64,7 +64,11 @@
         override fun onContent(content: ByteBuf): BodyVerdict {
             if (!hasBegunAnswer) {
                 if (body.append(content)) return BodyVerdict.Continue
-                if (!isFinal() || !isSuccess()) return BodyVerdict.GiveUp("unusable answer over $MAX_BUFFERED_BYTES bytes")
+                if (!isFinal() ||
+                    !isSuccess()
+                ) {
+                    return BodyVerdict.GiveUp("unusable answer over $MAX_BUFFERED_BYTES bytes")
+                }
                 beginForwarding()
             }
             routed.reply.part(content.retain())
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/PrefillCall.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/PrefillCall.kt
@@ -56,7 +56,14 @@
     override val bodyTimeoutMs: Long get() = BODY_TIMEOUT_MS
 
     override fun onContent(content: ByteBuf): BodyVerdict =
-        if (body.append(content)) BodyVerdict.Continue else BodyVerdict.GiveUp("prefill answer over $MAX_BODY_BYTES bytes")
+        if (body.append(
+                content,
+            )
+        ) {
+            BodyVerdict.Continue
+        } else {
+            BodyVerdict.GiveUp("prefill answer over $MAX_BODY_BYTES bytes")
+        }
 
     override fun onEnd() {
         val handle = if (status == HttpResponseStatus.OK) context.dialect.prefillHandle(body.content) else null
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/RelayContext.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/RelayContext.kt
@@ -1,5 +1,6 @@
 package gentiandale.relay.request
 
+import gentiandale.core.Clock
 import gentiandale.core.backend.ServiceName
 import gentiandale.core.log.EventLog
 import gentiandale.relay.RelayEvent
@@ -31,8 +32,7 @@
 /** Dependencies shared by the handlers of all requests. Confined to the event loop. */
 internal class RelayContext(
     val loop: EventLoop,
-    val nowMs: () -> Long,
-    val wallMs: () -> Long,
+    private val clock: Clock,
     val registry: BackendRegistry,
     val upstreams: Upstreams,
     val dialect: Dialect,
@@ -41,6 +41,8 @@
     val stats: RelayStats,
     val listener: RelayListener,
 ) {
+    /** Returns the monotonic time in milliseconds. */
+    val nowMs: () -> Long = clock::monotonicMs
     val queue = GenerationQueue(loop, nowMs)
     val plainPlacement get() = policies.plainPlacement
     val generationPlacement get() = policies.generationPlacement
@@ -66,7 +68,7 @@
         }
         val retryAfter = head.headers().get(HttpHeaderNames.RETRY_AFTER)
         val date = head.headers().get(HttpHeaderNames.DATE)
-        val restMs = RestPolicy.restMs(head.status().code(), retryAfter, date, wallMs()) ?: return
+        val restMs = RestPolicy.restMs(head.status().code(), retryAfter, date, clock.wallMs()) ?: return
         server.rest(nowMs() + restMs)
         noteServer(request, server, "rest", restMs)
     }
--- a/gentiandale-relay/src/test/kotlin/gentiandale/relay/ServerNoticeTest.kt
+++ b/gentiandale-relay/src/test/kotlin/gentiandale/relay/ServerNoticeTest.kt
@@ -78,7 +78,7 @@
         fun `is kept, and the server is used again after it`() {
             var answers = 0
             val resting = relay.server("a") { request, socket ->
-                if (answers++ == 0) rest(socket, request, "0.6") else FakeServer.reply(socket, request, "again")
+                if (answers++ == 0) refuse(socket, request, "0.6") else FakeServer.reply(socket, request, "again")
             }
             relay.get("/once/1")
             val until = System.nanoTime() + 450_000_000
@@ -90,7 +90,7 @@
 
         @Test
         fun `of all servers refuses requests at once with the time that is left`() {
-            listOf("a", "b").forEach { id -> relay.server(id) { request, socket -> rest(socket, request, "4") } }
+            listOf("a", "b").forEach { id -> relay.server(id) { request, socket -> refuse(socket, request, "4") } }
             relay.get("/once/1")
             val startNanos = System.nanoTime()
             val answer = relay.get("/once/2")
@@ -102,7 +102,7 @@
 
         @Test
         fun `of one server leaves its requests to the others`() {
-            val resting = relay.server("a") { request, socket -> rest(socket, request, "5") }
+            val resting = relay.server("a") { request, socket -> refuse(socket, request, "5") }
             relay.server("b") { request, socket -> FakeServer.reply(socket, request, "b") }
             repeat(12) { assertTrue(relay.get("/safe/$it").endsWith("b")) }
             assertTrue(resting.requests.size <= 1)
@@ -112,13 +112,13 @@
         fun `without a valid time does not exclude the server`() {
             var answers = 0
             relay.server("a") { request, socket ->
-                if (answers++ == 0) rest(socket, request, "-3") else FakeServer.reply(socket, request, "again")
+                if (answers++ == 0) refuse(socket, request, "-3") else FakeServer.reply(socket, request, "again")
             }
             relay.get("/once/1")
             assertTrue(relay.get("/once/2").endsWith("again"))
         }
 
-        private fun rest(socket: java.net.Socket, request: RawRequest, seconds: String) =
+        private fun refuse(socket: java.net.Socket, request: RawRequest, seconds: String) =
             FakeServer.reply(socket, request, "", "503 Full", "not-executed: 1\r\nretry-after: $seconds\r\n")
     }
 
--- a/gentiandale-relay/src/test/kotlin/gentiandale/relay/placement/GenerationPlacementTest.kt
+++ b/gentiandale-relay/src/test/kotlin/gentiandale/relay/placement/GenerationPlacementTest.kt
@@ -25,7 +25,9 @@
     private val engine = EngineRule(places = 128, memoryTokens = 75_000, tokenBytes = 96_256, handleLifetimeMs = 500)
     private val need = GenerationMemory(promptTokens = 5_000, expected = 3_600, limit = 7_540)
     private val speeds = ReadSpeeds().apply {
-        setShared(listOf(ReadSpeed(SERVICE, ServerKind.PREFILL, 45.0, 9), ReadSpeed(SERVICE, ServerKind.DECODE, 22.0, 9)))
+        setShared(
+            listOf(ReadSpeed(SERVICE, ServerKind.PREFILL, 45.0, 9), ReadSpeed(SERVICE, ServerKind.DECODE, 22.0, 9)),
+        )
     }
     private val prefill = Backend(rowOf("p1", ServerKind.PREFILL), speeds)
     private val first = Backend(rowOf("d1", ServerKind.DECODE), speeds)
--- a/gentiandale-relay/src/test/kotlin/gentiandale/relay/placement/PrefillPauseTest.kt
+++ b/gentiandale-relay/src/test/kotlin/gentiandale/relay/placement/PrefillPauseTest.kt
@@ -13,6 +13,7 @@
 import org.junit.jupiter.api.DynamicTest
 import org.junit.jupiter.api.TestFactory
 import kotlin.random.Random
+import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
 
@@ -75,6 +76,13 @@
             }
         }
 
+    @Test
+    fun `the speed of faster engines would delay events, so that the check is effective`() {
+        val engines = Engines(33.3)
+        engines.speeds.setShared(listOf(ReadSpeed(SERVICE, ServerKind.DECODE, 36.0, 9)))
+        assertTrue(play(engines).longestGapMs > MAX_GAP_MS)
+    }
+
     @TestFactory
     fun `the same holds on a VM that knows the speeds from others only`() =
         listOf(16.0, 33.3, 55.6, 90.0).map { speed ->
--- a/gentiandale-standin/src/main/kotlin/gentiandale/standin/fault/FaultPlan.kt
+++ b/gentiandale-standin/src/main/kotlin/gentiandale/standin/fault/FaultPlan.kt
@@ -37,13 +37,25 @@
     /** An order with an outdated fencing token is carried out. */
     @SerialName("ignored-fencing")
     IGNORED_FENCING,
+
+    /** The answer says that the server leaves. */
+    @SerialName("leaving")
+    LEAVING,
+
+    /** The request is refused with 503 and a `Retry-After` of [FaultPlan.lateMs]. */
+    @SerialName("rest")
+    REST,
+
+    /** The body of the answer continues until the caller closes the connection. */
+    @SerialName("endless")
+    ENDLESS,
 }
 
 /**
  * Faults that a stand-in injects.
  *
  * @param probabilities probability of each fault per request or order, from 0 to 1; a missing fault never occurs.
- * @param lateMs delay of a [Fault.LATE] answer in milliseconds.
+ * @param lateMs delay of a [Fault.LATE] answer, and rest after a [Fault.REST] one, in milliseconds.
  */
 @Serializable
 public data class FaultPlan(
--- a/gentiandale-standin/src/main/kotlin/gentiandale/standin/service/ServiceStandin.kt
+++ b/gentiandale-standin/src/main/kotlin/gentiandale/standin/service/ServiceStandin.kt
@@ -2,6 +2,7 @@
 
 import com.linecorp.armeria.common.AggregatedHttpRequest
 import com.linecorp.armeria.common.HttpData
+import com.linecorp.armeria.common.HttpHeaderNames
 import com.linecorp.armeria.common.HttpResponse
 import com.linecorp.armeria.common.HttpStatus
 import com.linecorp.armeria.common.MediaType
@@ -28,6 +29,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.future.await
 import kotlinx.coroutines.future.future
+import kotlinx.coroutines.launch
 import kotlinx.serialization.Serializable
 import java.net.InetSocketAddress
 import java.util.concurrent.ConcurrentHashMap
@@ -48,6 +50,7 @@
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     private val faults = FaultInjector(plan)
     private val total = AtomicLong()
+    private val calls = AtomicLong()
     private val running = AtomicInteger()
     private val runs = ConcurrentHashMap<String, Int>()
     private val announcer = Announcer(schedule) {
@@ -94,16 +97,43 @@
     }
 
     private suspend fun run(req: AggregatedHttpRequest): HttpResponse {
+        val subject = "call ${calls.incrementAndGet()}"
+        if (faults.shouldInject(Fault.REST, subject)) return restResponse()
         val run = total.incrementAndGet()
         req.headers().get(IDEMPOTENCY_KEY)?.let { key -> runs.merge(key, 1, Int::plus) }
-        val subject = "call $run"
         delay(workMs)
         if (faults.shouldInject(Fault.STALL, subject)) awaitCancellation()
         if (faults.shouldInject(Fault.DIE, subject)) Runtime.getRuntime().halt(SIGKILL_EXIT_STATUS)
         if (faults.shouldInject(Fault.LATE, subject)) delay(faults.plan.lateMs)
         val reply = ServiceReply(facts.service.orEmpty(), run, req.path(), req.contentUtf8())
-        if (faults.shouldInject(Fault.CUT, subject)) return truncatedResponse(reply)
-        return json(ServiceReply.serializer(), reply)
+        return respond(reply, subject)
+    }
+
+    private fun respond(reply: ServiceReply, subject: String): HttpResponse {
+        val response = json(ServiceReply.serializer(), reply)
+        return when {
+            faults.shouldInject(Fault.CUT, subject) -> truncatedResponse(reply)
+            faults.shouldInject(Fault.ENDLESS, subject) -> endlessResponse()
+            faults.shouldInject(Fault.LEAVING, subject) ->
+                response.mapHeaders { it.toBuilder().add(SERVER_LEAVING, "1").build() }
+            else -> response
+        }
+    }
+
+    private fun restResponse(): HttpResponse {
+        val seconds = faults.plan.lateMs / MS_PER_S
+        return HttpResponse.of(
+            ResponseHeaders.of(HttpStatus.SERVICE_UNAVAILABLE, HttpHeaderNames.RETRY_AFTER, "$seconds"),
+        )
+    }
+
+    private fun endlessResponse(): HttpResponse {
+        val writer = HttpResponse.streaming()
+        writer.write(ResponseHeaders.builder(HttpStatus.OK).contentType(MediaType.JSON).build())
+        scope.launch {
+            while (writer.tryWrite(HttpData.copyOf(FILLER))) delay(ENDLESS_INTERVAL_MS)
+        }
+        return writer
     }
 
     private fun truncatedResponse(reply: ServiceReply): HttpResponse {
@@ -119,6 +149,12 @@
 
     private companion object {
         const val IDEMPOTENCY_KEY = "idempotency-key"
+        const val SERVER_LEAVING = "server-leaving"
+        const val MS_PER_S = 1_000.0
+        const val ENDLESS_INTERVAL_MS = 5L
+
+        /** Part of an endless body. */
+        val FILLER = ByteArray(16_384) { ' '.code.toByte() }
 
         const val SIGKILL_EXIT_STATUS = 137
     }
--- a/gentiandale-state/src/main/kotlin/gentiandale/state/raft/GroupFounding.kt
+++ b/gentiandale-state/src/main/kotlin/gentiandale/state/raft/GroupFounding.kt
@@ -49,7 +49,9 @@
     /** Starts an attempt if one is due. */
     fun tick(nowMs: Long) {
         if (decided != null) return
-        val reachable = state.initial.filter { it == self.vm || nowMs - (heardMs[it] ?: return@filter false) < HEARD_MS }
+        val reachable = state.initial.filter {
+            it == self.vm || nowMs - (heardMs[it] ?: return@filter false) < HEARD_MS
+        }
         if (reachable.size < quorum) {
             quorumMs = null
             return
@@ -100,7 +102,10 @@
         heard[from.vm] = from
         if (current.promises.size < quorum) return
         val proposal = current.promises.values.filterNotNull().maxByOrNull { it.ballot }?.proposal
-            ?: FoundingProposal(GroupId("g-${self.voter}-${current.ballot.round}"), state.initial.mapNotNull(heard::get))
+            ?: FoundingProposal(
+                GroupId("g-${self.voter}-${current.ballot.round}"),
+                state.initial.mapNotNull(heard::get),
+            )
         current.proposal = proposal
         others().forEach { messages += it to FoundingMessage.Accept(current.ballot, proposal) }
         if ((state.promised ?: current.ballot) > current.ballot) return
--- a/gentiandale-state/src/test/kotlin/gentiandale/state/raft/GroupFoundingTest.kt
+++ b/gentiandale-state/src/test/kotlin/gentiandale/state/raft/GroupFoundingTest.kt
@@ -30,7 +30,12 @@
         fun runUntilLeader(boundMs: Long) {
             val endMs = simulation.time.nowMs + boundMs
             while (simulation.leader() == null && simulation.time.nowMs < endMs) run(STEP_MS)
-            assertTrue(simulation.leader() != null, "No leader after $boundMs ms: ${simulation.nodes.map { it.status }}")
+            assertTrue(
+                simulation.leader() != null,
+                "No leader after $boundMs ms: ${simulation.nodes.map {
+                    it.status
+                }}",
+            )
         }
     }
 
@@ -106,7 +111,12 @@
             },
         )
 
-        private fun runWithFault(count: Int, victims: List<Int>, atMs: Long, fault: Simulation.(SimulatedNode) -> Unit) {
+        private fun runWithFault(
+            count: Int,
+            victims: List<Int>,
+            atMs: Long,
+            fault: Simulation.(SimulatedNode) -> Unit,
+        ) {
             val simulation = simulation(count, seed = atMs.toInt() + 1, losses = victims.size)
             val record = GroupRecord(simulation)
             simulation.start()
@@ -146,12 +156,14 @@
                 record.run(random.nextLong(FAULT_INTERVAL_MS))
                 // A VM that dies before its first write is equal to one that lost its disk, which only a minority may.
                 val victim = simulation.nodes.filter { it.upMs > FIRST_WRITE_MS }.randomOrNull(random)
-                if (victim != null) when (random.nextInt(5)) {
-                    0 -> victim.crash().also { simulation.time.after(RESTART_MS) { victim.start() } }
-                    1 -> victim.freeze(random.nextLong(FREEZE_MS))
-                    2 -> simulation.isolate(victim.vm)
-                    3 -> victim.failDisk()
-                    else -> simulation.heal()
+                if (victim != null) {
+                    when (random.nextInt(5)) {
+                        0 -> victim.crash().also { simulation.time.after(RESTART_MS) { victim.start() } }
+                        1 -> victim.freeze(random.nextLong(FREEZE_MS))
+                        2 -> simulation.isolate(victim.vm)
+                        3 -> victim.failDisk()
+                        else -> simulation.heal()
+                    }
                 }
             }
             simulation.heal()
--- a/gentiandale-state/src/test/kotlin/gentiandale/state/raft/Simulation.kt
+++ b/gentiandale-state/src/test/kotlin/gentiandale/state/raft/Simulation.kt
@@ -19,6 +19,7 @@
     val formation: GroupFormation = GroupFormation.AfterAllReplies,
 ) {
     val time = VirtualTime()
+
     /** Formation of a VM that is started again. */
     val laterFormation: GroupFormation =
         if (formation is GroupFormation.AtFirstStart) GroupFormation.AsRecorded else formation
--- a/gentiandale-wire/src/main/kotlin/gentiandale/wire/PeerNode.kt
+++ b/gentiandale-wire/src/main/kotlin/gentiandale/wire/PeerNode.kt
@@ -43,9 +43,12 @@
  */
 public class PeerNode(public val self: VmId, private val filter: LinkFilter = LinkFilter.OPEN) : AutoCloseable {
     private val log = LoggerFactory.getLogger(PeerNode::class.java)
+
     // Sockets run on this dispatcher too, so that a message is read and decoded without a change of threads.
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.IO)
-    private val selectorThread = Executors.newSingleThreadExecutor { Thread(it, SELECTOR_THREAD).apply { isDaemon = true } }
+    private val selectorThread = Executors.newSingleThreadExecutor {
+        Thread(it, SELECTOR_THREAD).apply { isDaemon = true }
+    }
     private val selector = SelectorManager(selectorThread.asCoroutineDispatcher())
     private val handlers = ConcurrentHashMap<Channel, MessageHandler>()
     private val addresses = ConcurrentHashMap<VmId, Address>()
