Let plain calls wait while all servers are full for a moment

Cause: with three servers of six places and 59 entry VMs that don't know each other's calls, a burst fills all places for some milliseconds.

Change: RejectionPolicy decides between another server, a wait and a refusal. A call waits only while it can still meet its target, is sent again at most five times, and to no more servers than its route allows; at most 32 calls of a VM wait. Each send is charged to the retry budget as before.

--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/Relay.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/Relay.kt
@@ -17,6 +17,7 @@
 import gentiandale.relay.placement.AnswerLengthEstimator
 import gentiandale.relay.placement.GenerationPlacement
 import gentiandale.relay.placement.PlainPlacement
+import gentiandale.relay.placement.RejectionPolicy
 import gentiandale.relay.placement.RetryBudget
 import gentiandale.relay.request.GenerationRequestHandler
 import gentiandale.relay.request.PlacementPolicies
@@ -75,6 +76,7 @@
             plainPlacement = PlainPlacement(settings.dataCentre, random),
             generationPlacement = GenerationPlacement(settings.dataCentre, random),
             answerLengths = AnswerLengthEstimator(),
+            rejections = RejectionPolicy(random),
             budgetOf = ::budgetOf,
             random = random,
         ),
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/PlainRequestHandler.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/PlainRequestHandler.kt
@@ -1,27 +1,36 @@
 package gentiandale.relay.request
 
+import gentiandale.core.ServerId
 import gentiandale.core.ServerKind
 import gentiandale.relay.backend.Backend
+import gentiandale.relay.placement.RejectionStep
 import gentiandale.relay.routing.Repetition
 import gentiandale.relay.upstream.SendFailure
 import io.netty.buffer.ByteBuf
 import io.netty.handler.codec.http.FullHttpRequest
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpStatusClass
+import io.netty.util.concurrent.ScheduledFuture
+import java.util.concurrent.TimeUnit
 
 /** Handles a request whose answer is not an event stream. */
 internal class PlainRequestHandler(routed: RoutedRequest, context: RelayContext) : RequestHandler(routed, context) {
     private var hasBegunAnswer = false
     private var unsentCount = 0
+    private var rejections = 0
+    private var waitTimer: ScheduledFuture<*>? = null
     private var currentSend: Send? = null
+    private val sentTo = HashSet<ServerId>()
+    private val fullServers = HashSet<ServerId>()
 
     override fun hasBegun(): Boolean = hasBegunAnswer
 
-    override fun releaseResources() = Unit
+    override fun releaseResources() {
+        if (waitTimer?.cancel(false) == true) context.waitingCalls--
+    }
 
     override fun dispatch() {
-        val servers = context.candidates(routed.service).filter { it.row.kind != ServerKind.PREFILL }
-        val server = context.plainPlacement.choose(servers, tried, context.nowMs())
+        val server = context.plainPlacement.choose(allowedServers(), tried, context.nowMs())
             ?: return if (tried.isEmpty()) refuse("no server", noServerRetryMs()) else refuseOrFail("no other server")
         if (!takeRetryBudget()) return refuseOrFail("retry budget of ${routed.service.value} exhausted")
         val isOnce = route.repetition == Repetition.AT_MOST_ONCE
@@ -30,6 +39,42 @@
         currentSend = send
     }
 
+    /** Returns the servers that the request may be sent to: if its route allows no more, those that it was sent to. */
+    private fun allowedServers(): List<Backend> = context.candidates(routed.service).filter {
+        it.row.kind != ServerKind.PREFILL && (sentTo.size < route.maxAttempts || it.row.id in sentTo)
+    }
+
+    /** Tries another server, waits for a place, or refuses the request, which [server] has rejected as it was full. */
+    private fun afterRejection(server: Backend, reason: String) {
+        rejections++
+        val step = context.policies.rejections.next(
+            rejections = rejections,
+            untried = allowedServers().any { it.row.id !in tried },
+            elapsedMs = context.nowMs() - routed.request.startMs,
+            targetMs = minOf(route.targetMs, routed.deadlineMs - routed.request.startMs),
+            serviceMs = server.latencyMs,
+            waiting = context.waitingCalls,
+        )
+        when (step) {
+            is RejectionStep.TryAnother -> dispatch()
+            is RejectionStep.Refuse -> refuseOrFail(reason)
+            is RejectionStep.Wait -> {
+                context.waitingCalls++
+                waitTimer = context.loop.schedule(::afterWait, step.delayMs, TimeUnit.MILLISECONDS)
+            }
+        }
+    }
+
+    /** Tries the servers again that were full. */
+    private fun afterWait() {
+        context.waitingCalls--
+        waitTimer = null
+        if (isOver) return
+        tried -= fullServers
+        fullServers.clear()
+        dispatch()
+    }
+
     /** Tries another server after [ANSWER_TIMEOUT_MS] without an answer. */
     private fun onNoAnswer(send: Send) {
         if (!mayRetry() || context.budgetOf(routed.service).remaining(context.nowMs()) <= 0) return
@@ -52,6 +97,7 @@
 
         override fun request(): FullHttpRequest {
             attempts++
+            sentTo += server.row.id
             countSend()
             runState = RunState.MAY_HAVE_RUN
             return buildRequest(server) { }
@@ -109,10 +155,12 @@
         private fun onRejected(status: Int) {
             body.release()
             runState = stateBeforeSend
+            attempts--
             tried += server.row.id
+            fullServers += server.row.id
             server.onFull(context.nowMs())
             currentSend?.logFailure("request not executed: status $status")
-            if (attempts < route.maxAttempts) dispatch() else refuseOrFail("rejected by ${server.row.id} with $status")
+            afterRejection(server, "rejected by ${server.row.id} with $status")
         }
 
         /** Handles an answer that can't be forwarded as it is, or a failure that another server may not have. */
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/RelayContext.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/RelayContext.kt
@@ -11,6 +11,7 @@
 import gentiandale.relay.placement.AnswerLengthEstimator
 import gentiandale.relay.placement.GenerationPlacement
 import gentiandale.relay.placement.PlainPlacement
+import gentiandale.relay.placement.RejectionPolicy
 import gentiandale.relay.placement.RestPolicy
 import gentiandale.relay.placement.RetryBudget
 import gentiandale.relay.upstream.Dialect
@@ -25,6 +26,7 @@
     val plainPlacement: PlainPlacement,
     val generationPlacement: GenerationPlacement,
     val answerLengths: AnswerLengthEstimator,
+    val rejections: RejectionPolicy,
     val budgetOf: (ServiceName) -> RetryBudget,
     val random: Random,
 )
@@ -43,6 +45,9 @@
 ) {
     /** Returns the monotonic time in milliseconds. */
     val nowMs: () -> Long = clock::monotonicMs
+
+    /** Plain calls of this VM that wait because all servers were full. */
+    var waitingCalls = 0
     val queue = GenerationQueue(loop, nowMs)
     val plainPlacement get() = policies.plainPlacement
     val generationPlacement get() = policies.generationPlacement
--- a/gentiandale-relay/src/test/kotlin/gentiandale/relay/PlainRelayTest.kt
+++ b/gentiandale-relay/src/test/kotlin/gentiandale/relay/PlainRelayTest.kt
@@ -167,6 +167,34 @@
             assertTrue(answer.startsWith("HTTP/1.1 503") && "retry-after: 0." in answer, answer)
         }
 
+        @Test
+        fun `a request waits while all servers are full for a moment`() {
+            var calls = 0
+            relay.server("a") { request, socket ->
+                if (calls++ < 2) rejected(socket, request) else FakeServer.reply(socket, request, "ran")
+            }
+            assertTrue(relay.get("/once/1").endsWith("ran"))
+            assertEquals(3, calls)
+        }
+
+        @Test
+        fun `a request that waits for a full server is refused while it could still be retried in time`() {
+            val server = relay.server("a") { request, socket -> rejected(socket, request) }
+            val startNanos = System.nanoTime()
+            assertTrue(relay.get("/once/1").startsWith("HTTP/1.1 503"))
+            assertTrue(System.nanoTime() - startNanos < 1_000_000_000)
+            assertTrue(server.requests.size in 2..6, "${server.requests.size} arrivals")
+        }
+
+        @Test
+        fun `a request that waits is sent to no more servers than its route allows`() {
+            val servers = listOf("a", "b", "c", "d").map { id ->
+                relay.server(id) { request, socket -> rejected(socket, request) }
+            }
+            assertTrue(relay.get("/once/1").startsWith("HTTP/1.1 503"))
+            assertEquals(2, servers.count { it.requests.isNotEmpty() })
+        }
+
         @Test
         fun `a 503 without the not-executed header is not forwarded`() {
             relay.server("a") { request, socket -> FakeServer.reply(socket, request, "", status = "503 Busy") }
--- a/gentiandale-state/src/main/kotlin/gentiandale/state/raft/GroupFounding.kt
+++ b/gentiandale-state/src/main/kotlin/gentiandale/state/raft/GroupFounding.kt
@@ -4,9 +4,9 @@
 import kotlin.random.Random
 
 /**
- * Agreement of a majority of the initial VMs on the first voters of the group, by single-decree Paxos. It tolerates that
- * a minority of them is lost for good, at any step, and that the others crash and restart with their disks. All initial
- * VMs that run become voters, so that the group tolerates losses from its first entry on. Times are monotonic
+ * Agreement of a majority of the initial VMs on the first voters of the group, by single-decree Paxos. It tolerates
+ * that a minority of them is lost for good, at any step, and that the others crash and restart with their disks. All
+ * initial VMs that run become voters, so that the group tolerates losses from its first entry on. Times are monotonic
  * milliseconds.
  *
  * The caller makes [state] durable before it sends [takeMessages], and calls [tick] until [decided] is set.
