--- a/gentiandale-relay/src/test/kotlin/gentiandale/relay/PlainRelayTest.kt
+++ b/gentiandale-relay/src/test/kotlin/gentiandale/relay/PlainRelayTest.kt
@@ -277,14 +277,16 @@
 
         @Test
         fun `the connection to the server is closed when the caller disconnects`() {
+            val received = java.util.concurrent.CountDownLatch(1)
             val closed = java.util.concurrent.CountDownLatch(1)
             relay.server("a") { _, socket ->
+                received.countDown()
                 if (socket.getInputStream().read() < 0) closed.countDown()
                 false
             }
             relay.connect().use {
                 it.getOutputStream().write("GET /once/1 HTTP/1.1\r\nhost: h\r\nid: r1\r\n\r\n".toByteArray())
-                Thread.sleep(100)
+                assertTrue(received.await(5, java.util.concurrent.TimeUnit.SECONDS))
             }
             assertTrue(closed.await(1, java.util.concurrent.TimeUnit.SECONDS))
         }
--- a/gentiandale-relay/src/test/kotlin/gentiandale/relay/placement/GenerationPlacementTest.kt
+++ b/gentiandale-relay/src/test/kotlin/gentiandale/relay/placement/GenerationPlacementTest.kt
@@ -81,10 +81,10 @@
         @Test
         fun `decode servers read a short prompt while prefill servers are overloaded, a long one waits`() {
             first.updatePeerLoad(AssignedLoad(first.row.id, running = 3, memoryTokens = 20_000))
-            val short = GenerationMemory(promptTokens = 4_000, expected = 3_600, limit = 7_540)
+            val short = GenerationMemory(promptTokens = 3_000, expected = 3_600, limit = 7_540)
             val plan = placement.plan(listOf(busyPrefill, first), emptySet(), short, engine, 1)
             assertNull(assertIs<GenerationPlan.Placement>(plan).prefill)
-            val long = GenerationMemory(promptTokens = 9_000, expected = 3_600, limit = 7_540)
+            val long = GenerationMemory(promptTokens = 4_000, expected = 3_600, limit = 7_540)
             assertEquals(
                 GenerationPlan.NoCapacity,
                 placement.plan(listOf(busyPrefill, first), emptySet(), long, engine, 1),
