Refuse at once when all servers of a service rest, with a sound retry time

Cause: a server that had never rested had Long.MIN_VALUE as the end of its rest, and the time left until then overflowed, so that refusals of generations without engine capacity told callers to come back after years.

--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/backend/Backend.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/backend/Backend.kt
@@ -85,7 +85,7 @@
         internal set
 
     /** Monotonic time in milliseconds until which the server has asked this VM to send no requests. */
-    public var restUntilMs: Long = Long.MIN_VALUE
+    public var restUntilMs: Long = Long.MIN_VALUE / 2
         private set
 
     /** Sends the server no requests until [untilMs]; a shorter rest does not replace a longer one. */
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/PlainRequestHandler.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/PlainRequestHandler.kt
@@ -47,6 +47,7 @@
     /** Tries another server, waits for a place, or refuses the request, which [server] has rejected as it was full. */
     private fun afterRejection(server: Backend, reason: String) {
         rejections++
+        if (context.restLeftMs(routed.service) != null) return refuseOrFail(reason)
         val step = context.policies.rejections.next(
             rejections = rejections,
             untried = allowedServers().any { it.row.id !in tried },
@@ -88,7 +89,8 @@
     private fun noServerRetryMs() = context.restLeftMs(routed.service) ?: NO_SERVER_RETRY_MS
 
     private fun refuseOrFail(reason: String) {
-        if (runState == RunState.NOT_RUN) refuse(reason, FULL_RETRY_MS) else fail(reason)
+        val retryMs = context.restLeftMs(routed.service) ?: FULL_RETRY_MS
+        if (runState == RunState.NOT_RUN) refuse(reason, retryMs) else fail(reason)
     }
 
     private inner class Attempt(private val server: Backend) : SendHandler {
@@ -111,11 +113,8 @@
         override fun onContent(content: ByteBuf): BodyVerdict {
             if (!hasBegunAnswer) {
                 if (body.append(content)) return BodyVerdict.Continue
-                if (!isFinal() ||
-                    !isSuccess()
-                ) {
-                    return BodyVerdict.GiveUp("unusable answer over $MAX_BUFFERED_BYTES bytes")
-                }
+                val isForwarded = isFinal() && isSuccess()
+                if (!isForwarded) return BodyVerdict.GiveUp("unusable answer over $MAX_BUFFERED_BYTES bytes")
                 beginForwarding()
             }
             routed.reply.part(content.retain())
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/PrefillCall.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/PrefillCall.kt
@@ -55,15 +55,10 @@
 
     override val bodyTimeoutMs: Long get() = BODY_TIMEOUT_MS
 
-    override fun onContent(content: ByteBuf): BodyVerdict =
-        if (body.append(
-                content,
-            )
-        ) {
-            BodyVerdict.Continue
-        } else {
-            BodyVerdict.GiveUp("prefill answer over $MAX_BODY_BYTES bytes")
-        }
+    override fun onContent(content: ByteBuf): BodyVerdict {
+        val fits = body.append(content)
+        return if (fits) BodyVerdict.Continue else BodyVerdict.GiveUp("prefill answer over $MAX_BODY_BYTES bytes")
+    }
 
     override fun onEnd() {
         val handle = if (status == HttpResponseStatus.OK) context.dialect.prefillHandle(body.content) else null
--- a/gentiandale-relay/src/test/kotlin/gentiandale/relay/ServerNoticeTest.kt
+++ b/gentiandale-relay/src/test/kotlin/gentiandale/relay/ServerNoticeTest.kt
@@ -91,13 +91,14 @@
         @Test
         fun `of all servers refuses requests at once with the time that is left`() {
             listOf("a", "b").forEach { id -> relay.server(id) { request, socket -> refuse(socket, request, "4") } }
-            relay.get("/once/1")
-            val startNanos = System.nanoTime()
-            val answer = relay.get("/once/2")
-            assertTrue(System.nanoTime() - startNanos < 500_000_000)
-            assertTrue(answer.startsWith("HTTP/1.1 503"), answer)
-            val retryS = Regex("(?i)retry-after: ([\\d.]+)").find(answer)?.groupValues?.get(1)?.toDouble() ?: 0.0
-            assertTrue(retryS in 3.0..6.1, answer)
+            repeat(2) {
+                val startNanos = System.nanoTime()
+                val answer = relay.get("/once/$it")
+                assertTrue(System.nanoTime() - startNanos < 500_000_000)
+                assertTrue(answer.startsWith("HTTP/1.1 503"), answer)
+                val retryS = Regex("(?i)retry-after: ([\\d.]+)").find(answer)?.groupValues?.get(1)?.toDouble() ?: 0.0
+                assertTrue(retryS in 3.0..6.1, answer)
+            }
         }
 
         @Test
@@ -108,6 +109,15 @@
             assertTrue(resting.requests.size <= 1)
         }
 
+        @Test
+        fun `does not change the retry time of refusals while no server rests`() {
+            relay.server("d", ServerKind.DECODE) { request, socket -> FakeServer.reject(socket, request) }
+            val answer = relay.get("/stream/1")
+            assertTrue(answer.startsWith("HTTP/1.1 503"), answer)
+            val retryS = Regex("(?i)retry-after: ([\\d.]+)").find(answer)?.groupValues?.get(1)?.toDouble() ?: 99.0
+            assertTrue(retryS <= 2.0, answer)
+        }
+
         @Test
         fun `without a valid time does not exclude the server`() {
             var answers = 0
