Give each request of the surplus test an id of its own

The test sent five requests with one id, so that a late copy on a connection in use again carried the id of the request that waited, which can't be told from its answer; callers use a new id for each attempt. With ids of their own the copy has to be discarded and the right answer awaited.

--- a/gentiandale-relay/src/test/kotlin/gentiandale/relay/PlainRelayTest.kt
+++ b/gentiandale-relay/src/test/kotlin/gentiandale/relay/PlainRelayTest.kt
@@ -78,7 +78,7 @@
                 FakeServer.reply(socket, request, request.target)
                 FakeServer.reply(socket, request, "surplus")
             }
-            val answers = (1..5).map { relay.get("/safe/$it") }
+            val answers = (1..5).map { relay.get("/safe/$it", id = "r$it") }
             assertEquals((1..5).map { "/safe/$it" }, answers.map { it.substringAfter("\r\n\r\n") })
         }
 
