--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/Relay.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/Relay.kt
@@ -220,7 +220,7 @@
         reply.answer(status, headers, Unpooled.EMPTY_BUFFER)
         request.body.release()
         val id = dialect.requestId(request.headers)
-        log.write(RelayEvent.Ended(id, null, "refused", status, reason, 0, clock.monotonicMs() - request.startMs, null))
+        log.write(RelayEvent.Ended(id, null, "refused", status, reason, 0, clock.monotonicMs() - request.startMs))
         stats.onUnrouted(status)
         return { }
     }
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/RelayEvent.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/RelayEvent.kt
@@ -132,7 +132,7 @@
      *
      * @param outcome how the request ended.
      * @param reason why the request was not answered, or null.
-     * @param gapMs longest gap between two events of a stream in milliseconds.
+     * @param answer what the caller received.
      */
     public class Ended(
         private val request: String?,
@@ -142,16 +142,16 @@
         private val reason: String?,
         private val attempts: Int,
         private val elapsedMs: Long,
-        private val firstMs: Long?,
-        private val lastEvent: String? = null,
-        private val gapMs: Long? = null,
+        private val answer: AnswerSummary = AnswerSummary(),
     ) : RelayEvent("ended") {
         override val isFailure: Boolean get() = outcome != "answered"
 
         override fun describe(line: LogLine) {
             line.field("request", request).field("route", route).field("outcome", outcome).field("status", status)
                 .field("reason", reason).field("attempts", attempts).field("elapsed_ms", elapsedMs)
-                .field("first_ms", firstMs).field("last_event", lastEvent).field("gap_ms", gapMs)
+                .field("first_ms", answer.firstMs).field("last_event", answer.lastEvent).field("gap_ms", answer.gapMs)
+                .field("framing", answer.framing?.label)
+                .field("unfinished_bytes", answer.unfinishedBytes.takeIf { it > 0 })
         }
     }
 }
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/RelayMetrics.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/RelayMetrics.kt
@@ -26,6 +26,11 @@
         .help("Answers in which a server said that it leaves or wants no requests for a while, by kind.")
         .labelNames("kind")
         .register(registry)
+    private val serverAnswers = Counter.builder()
+        .name("gentiandale_server_answers_total")
+        .help("Answers of servers that reached their end, by how the end of the body is marked.")
+        .labelNames("framing")
+        .register(registry)
     private val duration = histogram(registry, "gentiandale_request_duration_seconds", "Time to the end of a request.")
     private val first = histogram(registry, "gentiandale_first_byte_seconds", "Time to the first byte of the answer.")
 
@@ -47,6 +52,10 @@
         notices.labelValues(kind).inc()
     }
 
+    override fun onServerAnswer(framing: String) {
+        serverAnswers.labelValues(framing).inc()
+    }
+
     private fun histogram(registry: PrometheusRegistry, name: String, help: String) = Histogram.builder()
         .name(name)
         .help(help)
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/RelayStats.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/RelayStats.kt
@@ -14,6 +14,9 @@
     /** Records that a server said in an answer that it leaves or rests, as named by [kind]. */
     public fun onServerNotice(kind: String)
 
+    /** Records an answer of a server that reached its end, with the framing named by [framing]. */
+    public fun onServerAnswer(framing: String)
+
     /** Provides an implementation without effect. */
     public companion object {
         /** Discards all measurements. */
@@ -25,6 +28,8 @@
             override fun onRetry(service: String, allowed: Boolean) = Unit
 
             override fun onServerNotice(kind: String) = Unit
+
+            override fun onServerAnswer(framing: String) = Unit
         }
     }
 }
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/AnswerProgress.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/AnswerProgress.kt
@@ -1,5 +1,8 @@
 package gentiandale.relay.request
 
+import gentiandale.relay.AnswerSummary
+import gentiandale.relay.upstream.AnswerFraming
+
 /**
  * Progress of an answer as seen by its caller.
  *
@@ -7,20 +10,16 @@
  * @param lastEvent id of the last event that the caller received on an earlier connection, or null.
  */
 internal class AnswerProgress(private val startMs: Long, lastEvent: String?) {
+    private var firstMs: Long? = null
     private var lastPartMs: Long? = null
+    private var maxGapMs: Long? = null
+    private var framing: AnswerFraming? = null
+    private var unfinishedBytes = 0
 
     /** Id of the last event sent to the caller, or null. */
     var lastEvent: String? = lastEvent
         private set
 
-    /** Time in milliseconds from the request to the first part of its answer, or null before that. */
-    var firstMs: Long? = null
-        private set
-
-    /** Longest gap between two parts in milliseconds, or null before the second part. */
-    var maxGapMs: Long? = null
-        private set
-
     /** Records a part of the answer sent at [nowMs]; [event] is its event id, if it has one. */
     fun onPart(nowMs: Long, event: Long? = null) {
         val previousMs = lastPartMs
@@ -28,4 +27,17 @@
         lastPartMs = nowMs
         event?.let { lastEvent = it.toString() }
     }
+
+    /** Records that the answer of a server has ended. */
+    fun onAnswerEnd(framing: AnswerFraming) {
+        this.framing = framing
+    }
+
+    /** Records that [bytes] followed the last whole event when a stream ended. */
+    fun onUnfinishedEvent(bytes: Int) {
+        unfinishedBytes = bytes
+    }
+
+    /** Returns what the caller has received so far. */
+    fun summary() = AnswerSummary(firstMs, lastEvent, maxGapMs, framing, unfinishedBytes)
 }
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/CallerStream.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/CallerStream.kt
@@ -33,6 +33,7 @@
     /** Ends the answer with [head]; [remainder] holds the bytes after the last event. */
     fun end(remainder: ByteBuf, head: HttpResponse) {
         if (!hasBegun) progress.onPart(nowMs())
+        progress.onUnfinishedEvent(remainder.readableBytes())
         begin(head)
         if (remainder.isReadable) reply.part(remainder) else remainder.release()
         reply.end()
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/GenerationCall.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/GenerationCall.kt
@@ -1,6 +1,7 @@
 package gentiandale.relay.request
 
 import gentiandale.relay.backend.Backend
+import gentiandale.relay.upstream.AnswerFraming
 import gentiandale.relay.upstream.SendFailure
 import io.netty.buffer.ByteBuf
 import io.netty.handler.codec.http.FullHttpRequest
@@ -95,7 +96,7 @@
         context.listener.onLoadChanged()
     }
 
-    override fun onEnd() {
+    override fun onEnd(framing: AnswerFraming) {
         endPrefill()
         val answer = head ?: return
         val status = answer.status().code()
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/KvCache.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/KvCache.kt
@@ -2,6 +2,7 @@
 
 import gentiandale.relay.RelayEvent
 import gentiandale.relay.backend.Backend
+import gentiandale.relay.upstream.AnswerFraming
 import gentiandale.relay.upstream.AnswerListener
 import gentiandale.relay.upstream.SendFailure
 import io.netty.buffer.ByteBuf
@@ -22,7 +23,7 @@
 
             override fun onContent(content: ByteBuf) = Unit
 
-            override fun onEnd() = Unit
+            override fun onEnd(framing: AnswerFraming) = Unit
 
             override fun onFailure(failure: SendFailure) {
                 val elapsedMs = context.nowMs() - startMs
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/PrefillCall.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/PrefillCall.kt
@@ -1,6 +1,7 @@
 package gentiandale.relay.request
 
 import gentiandale.relay.backend.Backend
+import gentiandale.relay.upstream.AnswerFraming
 import gentiandale.relay.upstream.SendFailure
 import io.netty.buffer.ByteBuf
 import io.netty.handler.codec.http.FullHttpRequest
@@ -60,7 +61,7 @@
         return if (fits) BodyVerdict.Continue else BodyVerdict.GiveUp("prefill answer over $MAX_BODY_BYTES bytes")
     }
 
-    override fun onEnd() {
+    override fun onEnd(framing: AnswerFraming) {
         val handle = if (status == HttpResponseStatus.OK) context.dialect.prefillHandle(body.content) else null
         release()
         if (handle == null) {
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/RequestHandler.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/RequestHandler.kt
@@ -5,6 +5,7 @@
 import gentiandale.relay.RelayEvent
 import gentiandale.relay.backend.Backend
 import gentiandale.relay.routing.Repetition
+import gentiandale.relay.upstream.AnswerFraming
 import gentiandale.relay.upstream.AnswerListener
 import gentiandale.relay.upstream.Exchange
 import gentiandale.relay.upstream.SendFailure
@@ -128,6 +129,7 @@
         releaseResources()
         routed.request.body.release()
         val elapsedMs = context.nowMs() - routed.request.startMs
+        val answer = progress.summary()
         context.log.write(
             RelayEvent.Ended(
                 routed.id,
@@ -137,12 +139,10 @@
                 reason,
                 attempts,
                 elapsedMs,
-                progress.firstMs,
-                progress.lastEvent,
-                progress.maxGapMs,
+                answer,
             ),
         )
-        context.stats.onEnded(route.name, route.urgency, outcome, elapsedMs, progress.firstMs)
+        context.stats.onEnded(route.name, route.urgency, outcome, elapsedMs, answer.firstMs)
     }
 
     /** Returns whether the request may be sent to another server, given that one may have started it. */
@@ -302,10 +302,12 @@
             }
         }
 
-        override fun onEnd() {
+        override fun onEnd(framing: AnswerFraming) {
             if (isDone) return
             done()
-            handler.onEnd()
+            progress.onAnswerEnd(framing)
+            context.stats.onServerAnswer(framing.label)
+            handler.onEnd(framing)
         }
 
         override fun onFailure(failure: SendFailure) {
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/SendHandler.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/SendHandler.kt
@@ -1,5 +1,6 @@
 package gentiandale.relay.request
 
+import gentiandale.relay.upstream.AnswerFraming
 import gentiandale.relay.upstream.SendFailure
 import io.netty.buffer.ByteBuf
 import io.netty.handler.codec.http.FullHttpRequest
@@ -28,8 +29,8 @@
     /** Called with a part of the body. */
     fun onContent(content: ByteBuf): BodyVerdict
 
-    /** Called at the end of a complete answer. */
-    fun onEnd()
+    /** Called at the end of an answer that is complete as far as its [framing] shows. */
+    fun onEnd(framing: AnswerFraming)
 
     /** Called when no complete answer will arrive. */
     fun onFailure(failure: SendFailure)
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/upstream/AnswerDecoder.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/upstream/AnswerDecoder.kt
@@ -9,5 +9,6 @@
     /** Whether the next answer has no body. */
     var isBodyless: Boolean = false
 
-    override fun isContentAlwaysEmpty(message: HttpMessage): Boolean = isBodyless || super.isContentAlwaysEmpty(message)
+    public override fun isContentAlwaysEmpty(message: HttpMessage): Boolean =
+        isBodyless || super.isContentAlwaysEmpty(message)
 }
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/upstream/Exchange.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/upstream/Exchange.kt
@@ -27,8 +27,8 @@
     /** Called with a part of the body, which is released after the call. */
     public fun onContent(content: ByteBuf)
 
-    /** Called when the answer is complete. */
-    public fun onEnd()
+    /** Called when the answer is complete as far as its [framing] shows. */
+    public fun onEnd(framing: AnswerFraming)
 
     /** Called when no complete answer will arrive. */
     public fun onFailure(failure: SendFailure)
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/upstream/UpstreamConnection.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/upstream/UpstreamConnection.kt
@@ -27,6 +27,7 @@
     private var exchange: Exchange? = null
     private var isRequestWritten = false
     private var isAnswerComplete = false
+    private var framing = AnswerFraming.NO_BODY
     private var isForeignAnswer = false
     private var isInterimAnswer = false
     private var isReset = false
@@ -108,6 +109,7 @@
             return
         }
         updateKeepAlive(head)
+        framing = AnswerFraming.of(head, decoder?.isContentAlwaysEmpty(head) ?: false)
         if (!current.isOver) current.listener.onHead(head)
     }
 
@@ -124,7 +126,7 @@
         isAnswerComplete = true
         if (!current.isOver) {
             current.isOver = true
-            current.listener.onEnd()
+            current.listener.onEnd(framing)
         }
     }
 
