Don't take the end of a stream for its completeness

Cause: a relay that reached the end which the framing of an answer shows took the answer for whole. An answer without length or chunks has no such mark: the HTTP decoder reports the end of the connection as an ordinary last part. The relay forwarded the rest of the incomplete event and wrote the last chunk of its own. A truncated body that a server frames as complete went the same way.

Now each handler of a send judges the end of its answer before it becomes final (AnswerEnd). A stream is whole only if it ends after an event; one whose end is marked by nothing but its connection also needs an event at all, and no cut comment. Otherwise it counts as broken: it is resumed on another server after the last whole event, or visibly broken off.

Ruled out: a missed reset; the two cases of it passed before.

--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/AnswerSummary.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/AnswerSummary.kt
@@ -9,12 +9,10 @@
  * @param lastEvent id of the last event of a stream, or null.
  * @param gapMs longest gap between two parts in milliseconds, or null before the second part.
  * @param framing framing of the last answer of a server that reached its end, or null if none did.
- * @param unfinishedBytes bytes after the last whole event of that answer.
  */
 public data class AnswerSummary(
     val firstMs: Long? = null,
     val lastEvent: String? = null,
     val gapMs: Long? = null,
     val framing: AnswerFraming? = null,
-    val unfinishedBytes: Int = 0,
 )
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/RelayEvent.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/RelayEvent.kt
@@ -151,7 +151,6 @@
                 .field("reason", reason).field("attempts", attempts).field("elapsed_ms", elapsedMs)
                 .field("first_ms", answer.firstMs).field("last_event", answer.lastEvent).field("gap_ms", answer.gapMs)
                 .field("framing", answer.framing?.label)
-                .field("unfinished_bytes", answer.unfinishedBytes.takeIf { it > 0 })
         }
     }
 }
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/RelayMetrics.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/RelayMetrics.kt
@@ -28,8 +28,8 @@
         .register(registry)
     private val serverAnswers = Counter.builder()
         .name("gentiandale_server_answers_total")
-        .help("Answers of servers that reached their end, by how the end of the body is marked.")
-        .labelNames("framing")
+        .help("Answers of servers that reached their end, by how that is marked and by whether the answer was whole.")
+        .labelNames("framing", "whole")
         .register(registry)
     private val duration = histogram(registry, "gentiandale_request_duration_seconds", "Time to the end of a request.")
     private val first = histogram(registry, "gentiandale_first_byte_seconds", "Time to the first byte of the answer.")
@@ -52,8 +52,8 @@
         notices.labelValues(kind).inc()
     }
 
-    override fun onServerAnswer(framing: String) {
-        serverAnswers.labelValues(framing).inc()
+    override fun onServerAnswer(framing: String, isWhole: Boolean) {
+        serverAnswers.labelValues(framing, isWhole.toString()).inc()
     }
 
     private fun histogram(registry: PrometheusRegistry, name: String, help: String) = Histogram.builder()
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/RelayStats.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/RelayStats.kt
@@ -14,8 +14,8 @@
     /** Records that a server said in an answer that it leaves or rests, as named by [kind]. */
     public fun onServerNotice(kind: String)
 
-    /** Records an answer of a server that reached its end, with the framing named by [framing]. */
-    public fun onServerAnswer(framing: String)
+    /** Records an answer of a server that reached the end that its [framing] shows, and whether it [isWhole]. */
+    public fun onServerAnswer(framing: String, isWhole: Boolean)
 
     /** Provides an implementation without effect. */
     public companion object {
@@ -29,7 +29,7 @@
 
             override fun onServerNotice(kind: String) = Unit
 
-            override fun onServerAnswer(framing: String) = Unit
+            override fun onServerAnswer(framing: String, isWhole: Boolean) = Unit
         }
     }
 }
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/AnswerProgress.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/AnswerProgress.kt
@@ -14,7 +14,6 @@
     private var lastPartMs: Long? = null
     private var maxGapMs: Long? = null
     private var framing: AnswerFraming? = null
-    private var unfinishedBytes = 0
 
     /** Id of the last event sent to the caller, or null. */
     var lastEvent: String? = lastEvent
@@ -33,11 +32,6 @@
         this.framing = framing
     }
 
-    /** Records that [bytes] followed the last whole event when a stream ended. */
-    fun onUnfinishedEvent(bytes: Int) {
-        unfinishedBytes = bytes
-    }
-
     /** Returns what the caller has received so far. */
-    fun summary() = AnswerSummary(firstMs, lastEvent, maxGapMs, framing, unfinishedBytes)
+    fun summary() = AnswerSummary(firstMs, lastEvent, maxGapMs, framing)
 }
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/CallerStream.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/CallerStream.kt
@@ -30,10 +30,9 @@
         reply.part(event.bytes)
     }
 
-    /** Ends the answer with [head]; [remainder] holds the bytes after the last event. */
+    /** Ends the answer with [head]; [remainder] holds the empty lines and comments after the last event. */
     fun end(remainder: ByteBuf, head: HttpResponse) {
         if (!hasBegun) progress.onPart(nowMs())
-        progress.onUnfinishedEvent(remainder.readableBytes())
         begin(head)
         if (remainder.isReadable) reply.part(remainder) else remainder.release()
         reply.end()
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/EventSplitter.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/EventSplitter.kt
@@ -19,8 +19,16 @@
     /** Number of buffered bytes of an incomplete event. */
     val bufferedBytes: Int get() = buffered.readableBytes()
 
-    /** Whether an incomplete event is buffered. */
-    val hasPartialEvent: Boolean get() = buffered.isReadable
+    /** What the buffered bytes are if the stream ends here. */
+    val tail: StreamTail
+        get() {
+            val text = buffered.toString(Charsets.UTF_8)
+            return when {
+                !isComment(text) -> StreamTail.UNFINISHED_EVENT
+                text.substringAfterLast('\n').isNotBlank() -> StreamTail.UNFINISHED_COMMENT
+                else -> StreamTail.CLEAN
+            }
+        }
 
     /** Appends [content] and returns the events that are now complete. */
     fun feed(content: ByteBuf): List<StreamEvent> {
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/GenerationCall.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/GenerationCall.kt
@@ -48,6 +48,7 @@
     private val splitter = EventSplitter()
     private var head: HttpResponse? = null
     private val body = AnswerBuffer(MAX_ERROR_BODY_BYTES)
+    private var events = 0
     private var isPrefilling = source == null
     private var sentMs = context.nowMs()
 
@@ -81,6 +82,7 @@
     }
 
     private fun forward(event: StreamEvent, answer: HttpResponse) {
+        if (!event.isComment) events++
         if (listener.hasEnded || stream.hasSent(event)) {
             event.bytes.release()
             return
@@ -96,7 +98,12 @@
         context.listener.onLoadChanged()
     }
 
-    override fun onEnd(framing: AnswerFraming) {
+    override fun judgeEnd(framing: AnswerFraming): AnswerEnd {
+        val isStream = head?.let(::isStream) ?: false
+        return if (isStream) AnswerEnd.ofStream(framing, events, splitter.tail) else AnswerEnd.Whole
+    }
+
+    override fun onEnd() {
         endPrefill()
         val answer = head ?: return
         val status = answer.status().code()
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/PlainRequestHandler.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/PlainRequestHandler.kt
@@ -5,7 +5,6 @@
 import gentiandale.relay.backend.Backend
 import gentiandale.relay.placement.RejectionStep
 import gentiandale.relay.routing.Repetition
-import gentiandale.relay.upstream.AnswerFraming
 import gentiandale.relay.upstream.SendFailure
 import io.netty.buffer.ByteBuf
 import io.netty.handler.codec.http.FullHttpRequest
@@ -122,7 +121,7 @@
             return BodyVerdict.Continue
         }
 
-        override fun onEnd(framing: AnswerFraming) {
+        override fun onEnd() {
             val answer = head ?: return
             val status = answer.status().code()
             if (hasBegunAnswer) {
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/PrefillCall.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/PrefillCall.kt
@@ -1,7 +1,6 @@
 package gentiandale.relay.request
 
 import gentiandale.relay.backend.Backend
-import gentiandale.relay.upstream.AnswerFraming
 import gentiandale.relay.upstream.SendFailure
 import io.netty.buffer.ByteBuf
 import io.netty.handler.codec.http.FullHttpRequest
@@ -61,7 +60,7 @@
         return if (fits) BodyVerdict.Continue else BodyVerdict.GiveUp("prefill answer over $MAX_BODY_BYTES bytes")
     }
 
-    override fun onEnd(framing: AnswerFraming) {
+    override fun onEnd() {
         val handle = if (status == HttpResponseStatus.OK) context.dialect.prefillHandle(body.content) else null
         release()
         if (handle == null) {
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/RequestHandler.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/RequestHandler.kt
@@ -304,10 +304,16 @@
 
         override fun onEnd(framing: AnswerFraming) {
             if (isDone) return
-            done()
             progress.onAnswerEnd(framing)
-            context.stats.onServerAnswer(framing.label)
-            handler.onEnd(framing)
+            val end = handler.judgeEnd(framing)
+            context.stats.onServerAnswer(framing.label, end is AnswerEnd.Whole)
+            when (end) {
+                is AnswerEnd.Whole -> {
+                    done()
+                    handler.onEnd()
+                }
+                is AnswerEnd.BrokenOff -> onFailure(SendFailure.Broken(end.reason))
+            }
         }
 
         override fun onFailure(failure: SendFailure) {
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/SendHandler.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/SendHandler.kt
@@ -29,8 +29,11 @@
     /** Called with a part of the body. */
     fun onContent(content: ByteBuf): BodyVerdict
 
-    /** Called at the end of an answer that is complete as far as its [framing] shows. */
-    fun onEnd(framing: AnswerFraming)
+    /** Judges an answer that is complete as far as its [framing] shows. */
+    fun judgeEnd(framing: AnswerFraming): AnswerEnd = AnswerEnd.Whole
+
+    /** Called at the end of a complete answer. */
+    fun onEnd()
 
     /** Called when no complete answer will arrive. */
     fun onFailure(failure: SendFailure)
--- a/gentiandale-relay/src/test/kotlin/gentiandale/relay/request/EventSplitterTest.kt
+++ b/gentiandale-relay/src/test/kotlin/gentiandale/relay/request/EventSplitterTest.kt
@@ -3,8 +3,6 @@
 import io.netty.buffer.Unpooled
 import kotlin.test.Test
 import kotlin.test.assertEquals
-import kotlin.test.assertFalse
-import kotlin.test.assertTrue
 
 class EventSplitterTest {
     private val text = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\ndata: c\n\n"
@@ -16,7 +14,7 @@
             val events = listOf(text.take(cut), text.drop(cut)).flatMap { feed(splitter, it) }
             assertEquals(listOf<Long?>(1, 2, null), events.map { it.first }, "cut at $cut")
             assertEquals(text, events.joinToString("") { it.second })
-            assertFalse(splitter.hasPartialEvent)
+            assertEquals(StreamTail.CLEAN, splitter.tail)
         }
     }
 
@@ -24,7 +22,7 @@
     fun `an incomplete event is not returned`() {
         val splitter = EventSplitter()
         assertEquals(1, feed(splitter, "id: 7\ndata: x\n\nid: 8\nda").size)
-        assertTrue(splitter.hasPartialEvent)
+        assertEquals(StreamTail.UNFINISHED_EVENT, splitter.tail)
     }
 
     private fun feed(splitter: EventSplitter, part: String) =
