Reset the connection of an HTTP/1.0 caller when its answer is broken off

While such an answer is incomplete, any close of its connection now is a reset. The test failed before: the caller read the part and an ordinary end.

--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/caller/HttpServerConnection.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/caller/HttpServerConnection.kt
@@ -10,6 +10,7 @@
 import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.channel.ChannelOption
 import io.netty.channel.socket.DuplexChannel
 import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.DefaultHttpContent
@@ -241,7 +242,13 @@
 
         override fun begin(status: Int, headers: HttpHeaders) {
             if (!isOpen) return
-            if (!isHttp10) headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED)
+            if (isHttp10) {
+                resetOnClose(
+                    true,
+                )
+            } else {
+                headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED)
+            }
             keepsAlive = setConnectionHeader(headers) && !isHttp10
             if (!keepsAlive) headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
             channel.writeAndFlush(
@@ -254,7 +261,9 @@
         }
 
         override fun end() {
-            if (isOpen) finish(LastHttpContent.EMPTY_LAST_CONTENT, keepsAlive)
+            if (!isOpen) return
+            if (isHttp10) resetOnClose(false)
+            finish(LastHttpContent.EMPTY_LAST_CONTENT, keepsAlive)
         }
 
         override fun abort() {
@@ -267,6 +276,14 @@
 
         private var keepsAlive = false
 
+        /**
+         * Makes any close reset the connection, also one by the end of the process. Without chunks an orderly close is
+         * the mark of a complete answer.
+         */
+        private fun resetOnClose(enabled: Boolean) {
+            channel.config().setOption(ChannelOption.SO_LINGER, if (enabled) 0 else LINGER_DISABLED)
+        }
+
         private fun setConnectionHeader(headers: HttpHeaders): Boolean {
             val keep = keepAlive && !server.isDraining
             if (!keep) headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
@@ -288,6 +305,9 @@
         const val MAX_PENDING_PARTS = 64
         const val MAX_BODY_PARTS = 1_024
 
+        /** Lets a close return at once and deliver what has been written. */
+        const val LINGER_DISABLED = -1
+
         /** Time in milliseconds for the client to read the last answer. */
         const val LINGER_MS = 500L
     }
--- a/gentiandale-relay/src/test/kotlin/gentiandale/relay/BrokenOffAnswerTest.kt
+++ b/gentiandale-relay/src/test/kotlin/gentiandale/relay/BrokenOffAnswerTest.kt
@@ -4,8 +4,10 @@
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Nested
 import java.net.Socket
+import java.net.SocketException
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertFailsWith
 import kotlin.test.assertFalse
 import kotlin.test.assertTrue
 
@@ -159,6 +161,24 @@
         }
     }
 
+    /** Callers that end an answer with its connection, since HTTP/1.0 has no chunks. */
+    @Nested
+    inner class OldCallers {
+        private fun get10(target: String) = relay.exchange("GET $target HTTP/1.0\r\nhost: h\r\nid: r1\r\n\r\n")
+
+        @Test
+        fun `a broken-off stream resets the connection of an HTTP 1_0 caller`() {
+            relay.server("d1", ServerKind.DECODE) { request, socket -> FakeServer.breakOff(socket, request) }
+            assertFailsWith<SocketException> { get10("/stream-once/1") }
+        }
+
+        @Test
+        fun `a whole stream closes the connection of an HTTP 1_0 caller in order`() {
+            relay.server("d1", ServerKind.DECODE) { request, socket -> FakeServer.stream(socket, request, 1..2) }
+            assertEquals(listOf("1", "2"), events(get10("/stream-once/1")))
+        }
+    }
+
     private fun isComplete(answer: String) = answer.endsWith("0\r\n\r\n")
 
     private fun events(answer: String) = Regex("data: x(\\d+)\n\n").findAll(answer).map { it.groupValues[1] }.toList()
