Don't take a reset for the end of a plain call's answer in the daemon

The daemon calls plain services through Armeria, which presents an answer without length or chunks as complete when its connection is reset: the HTTP decoder reports any end of the connection as the end of the body. The part was given to the caller as a success, and kept as the answer of an at-most-once call under its idempotency key.

A filter behind the HTTP codec now drops an end that follows an I/O error, so that the call fails and its outcome is unknown. PlainSenderTest failed before on the reset; an orderly close still ends such an answer. Completions don't have the fault: their streams need a final event, and the answers to prefills are JSON.

--- a/gentiandale-daemon/src/main/kotlin/gentiandale/daemon/claim/PlainSender.kt
+++ b/gentiandale-daemon/src/main/kotlin/gentiandale/daemon/claim/PlainSender.kt
@@ -32,6 +32,7 @@
         .factory(factory)
         .responseTimeoutMillis(0)
         .maxResponseLength(MAX_RESPONSE_BYTES)
+        .decorator(ResetFilter.DECORATOR)
         .build()
 
     /** Sends [call] to [server] and waits at most [timeoutMs] milliseconds for the response. */
