--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/RelayEvent.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/RelayEvent.kt
@@ -3,6 +3,7 @@
 import gentiandale.core.ServerId
 import gentiandale.core.backend.AssignedLoad
 import gentiandale.core.backend.BackendRow
+import gentiandale.core.backend.PromptPart
 import gentiandale.core.log.LogEvent
 import gentiandale.core.log.LogLine
 import gentiandale.relay.backend.GenerationMemory
@@ -54,17 +55,22 @@
         }
     }
 
-    /** A server failed or rejected a request. */
+    /**
+     * A server failed or rejected a request.
+     *
+     * @param events events of a stream that this send has yielded, or null if none were expected.
+     */
     public class SendFailed(
         private val request: String?,
         private val operation: String,
         private val server: ServerId,
         private val reason: String,
         private val elapsedMs: Long,
+        private val events: Int? = null,
     ) : RelayEvent("send-failed") {
         override fun describe(line: LogLine) {
             line.field("request", request).field("step", operation).field("server", server.value)
-                .field("reason", reason).field("elapsed_ms", elapsedMs)
+                .field("reason", reason).field("elapsed_ms", elapsedMs).field("events", events)
         }
     }
 
@@ -91,6 +97,7 @@
      * Engine capacity was reserved for a generation.
      *
      * @param decode load of the decode server, including the reservation.
+     * @param parts parts of the prompt that other requests may hold too.
      * @param waitedMs time in milliseconds since the request arrived.
      * @param ahead generations of this VM that are still queued.
      */
@@ -100,11 +107,13 @@
         private val prefill: ServerId?,
         private val size: GenerationSize,
         private val need: GenerationMemory,
+        private val parts: List<PromptPart>,
         private val waitedMs: Long,
         private val ahead: Int,
     ) : RelayEvent("reserved") {
         override fun describe(line: LogLine) {
             line.field("request", request).field("decode", decode.id.value).field("prefill", prefill?.value)
+                .field("parts", parts.take(MAX_LOGGED_PARTS).joinToString(",").ifEmpty { null })
                 .field("prompt_tokens", size.prompt).field("answer_limit", size.answer)
                 .field("answer_hint", size.expected).field("answer_expected", need.expected)
                 .field("running", decode.running)
@@ -153,4 +162,8 @@
                 .field("framing", answer.framing?.label)
         }
     }
+
+    private companion object {
+        const val MAX_LOGGED_PARTS = 8
+    }
 }
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/GenerationCall.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/GenerationCall.kt
@@ -48,7 +48,8 @@
     private val splitter = EventSplitter()
     private var head: HttpResponse? = null
     private val body = AnswerBuffer(MAX_ERROR_BODY_BYTES)
-    private var events = 0
+    override var eventCount = 0
+        private set
     private var isPrefilling = source == null
     private var sentMs = context.nowMs()
 
@@ -82,7 +83,7 @@
     }
 
     private fun forward(event: StreamEvent, answer: HttpResponse) {
-        if (!event.isComment) events++
+        if (!event.isComment) eventCount++
         if (listener.hasEnded || stream.hasSent(event)) {
             event.bytes.release()
             return
@@ -100,7 +101,7 @@
 
     override fun judgeEnd(framing: AnswerFraming): AnswerEnd {
         val isStream = head?.let(::isStream) ?: false
-        return if (isStream) AnswerEnd.ofStream(framing, events, splitter.tail) else AnswerEnd.Whole
+        return if (isStream) AnswerEnd.ofStream(framing, eventCount, splitter.tail) else AnswerEnd.Whole
     }
 
     override fun onEnd() {
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/GenerationRequestHandler.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/GenerationRequestHandler.kt
@@ -24,6 +24,7 @@
     PrefillCall.Listener,
     GenerationCall.Listener {
     private val size = context.dialect.size(routed.headers) ?: DEFAULT_SIZE
+    private val parts = context.dialect.sharedParts(routed.headers)
     private val engine = routed.rule?.engine
     private val need = GenerationMemory(size.prompt, context.answerLengths.estimate(route.name, size), size.answer)
     private val promptReservation = PromptReservation(size.prompt)
@@ -97,7 +98,7 @@
         val waitedMs = now - routed.request.startMs
         val prefill = plan.prefill?.row?.id
         val ahead = context.queue.size
-        context.log.write(RelayEvent.Reserved(routed.id, plan.decode.load, prefill, size, need, waitedMs, ahead))
+        context.log.write(RelayEvent.Reserved(routed.id, plan.decode.load, prefill, size, need, parts, waitedMs, ahead))
     }
 
     private fun prefillServers() =
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/RequestHandler.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/RequestHandler.kt
@@ -250,7 +250,9 @@
         fun logFailure(reason: String) {
             lastReason = "${server.row.id}: $reason"
             val elapsedMs = sentMs?.let { context.nowMs() - it } ?: 0
-            context.log.write(RelayEvent.SendFailed(routed.id, operation, server.row.id, reason, elapsedMs))
+            context.log.write(
+                RelayEvent.SendFailed(routed.id, operation, server.row.id, reason, elapsedMs, handler.eventCount),
+            )
         }
 
         override fun onConnected(): FullHttpRequest? {
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/SendHandler.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/SendHandler.kt
@@ -20,6 +20,9 @@
     /** Time in milliseconds from the head to the end of the answer; null if only the request's deadline applies. */
     val bodyTimeoutMs: Long? get() = null
 
+    /** Events of a stream that the send has yielded, or null if none are expected. */
+    val eventCount: Int? get() = null
+
     /** Returns the HTTP request to write. */
     fun request(): FullHttpRequest
 
--- /dev/null
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/upstream/AnswerDialect.kt
@@ -0,0 +1,15 @@
+package gentiandale.relay.upstream
+
+import io.netty.handler.codec.http.HttpHeaders
+
+/** What the head of a server's answer says about the answer and the server. */
+public interface AnswerDialect {
+    /** Returns whether a server states that it has not executed the request. */
+    public fun isNotExecuted(status: Int, headers: HttpHeaders): Boolean
+
+    /** Returns whether a server says in its answer that it leaves and must get no new requests. */
+    public fun isLeaving(headers: HttpHeaders): Boolean
+
+    /** Returns whether an answer carries the signature of a server. */
+    public fun isSigned(headers: HttpHeaders): Boolean
+}
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/upstream/Dialect.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/upstream/Dialect.kt
@@ -2,6 +2,7 @@
 
 import gentiandale.core.Address
 import gentiandale.core.ServerId
+import gentiandale.core.backend.PromptPart
 import io.netty.buffer.ByteBuf
 import io.netty.handler.codec.http.FullHttpRequest
 import io.netty.handler.codec.http.HttpHeaders
@@ -10,7 +11,7 @@
  * Headers and small bodies of the HTTP interface between callers, backend servers and this system. An implementation
  * defines their names and formats, which the relay does not depend on.
  */
-public interface Dialect {
+public interface Dialect : AnswerDialect {
     /** Returns the request id that the caller has set, or that a server repeats in its answer, or null. */
     public fun requestId(headers: HttpHeaders): String?
 
@@ -20,6 +21,9 @@
     /** Returns the size of a generation as stated by the caller, or null. */
     public fun size(headers: HttpHeaders): GenerationSize?
 
+    /** Returns the parts of the prompt that other requests may hold too, in their order; the last part is left out. */
+    public fun sharedParts(headers: HttpHeaders): List<PromptPart>
+
     /** Returns the id of the last event of a stream that the caller has received, or null. */
     public fun lastEventId(headers: HttpHeaders): String?
 
@@ -38,15 +42,6 @@
     /** Requests that a stream resumes after the event [id]. */
     public fun resumeAfter(headers: HttpHeaders, id: String)
 
-    /** Returns whether a server states that it has not executed the request. */
-    public fun isNotExecuted(status: Int, headers: HttpHeaders): Boolean
-
-    /** Returns whether a server says in its answer that it leaves and must get no new requests. */
-    public fun isLeaving(headers: HttpHeaders): Boolean
-
-    /** Returns whether an answer carries the signature of a server. */
-    public fun isSigned(headers: HttpHeaders): Boolean
-
     /** Returns the handle of the KV cache from [body], the answer to a prefill, or null if it contains none. */
     public fun prefillHandle(body: ByteBuf): String?
 
