Keep requests away from engines that others of their kind have crashed

Cause: the router took each crash for a failure of the engine alone. It moved the requests of a crashed engine to other engines, and kept nothing about what they hold. Route, caller and first part don't tell the deadly requests from sound ones, as the trial on a copy that printed the parts showed.

Now the shared parts of a request are suspects of a crash if its engine ended before the answer was established; an answer clears its parts. A request is refused for a part that is suspected of two crashes, unless another part that it does not hold explains them as well (CrashTable). The evidence reaches all entry VMs through all control VMs, and again after restarts and partitions by digests.

--- /dev/null
+++ b/gentiandale-core/src/main/kotlin/gentiandale/core/backend/CrashRecord.kt
@@ -0,0 +1,28 @@
+package gentiandale.core.backend
+
+import gentiandale.core.Incarnation
+import gentiandale.core.ServerId
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+
+/** One crash of an engine: the [incarnation] of [server] that ended. */
+@Serializable
+public data class CrashId(
+    @SerialName("s") val server: ServerId,
+    @SerialName("i") val incarnation: Incarnation,
+)
+
+/**
+ * What the entry VMs know of one crash of an engine.
+ *
+ * @param ageMs time in milliseconds since the crash, when the record was sent.
+ * @param suspects shared prompt parts of each request whose answer the engine had just begun, or not yet begun.
+ * @param cleared parts that an engine has answered since, so that they did not cause the crash.
+ */
+@Serializable
+public data class CrashRecord(
+    @SerialName("c") val id: CrashId,
+    @SerialName("a") val ageMs: Long,
+    @SerialName("u") val suspects: Set<List<PromptPart>>,
+    @SerialName("k") val cleared: Set<PromptPart> = emptySet(),
+)
--- /dev/null
+++ b/gentiandale-core/src/test/kotlin/gentiandale/core/backend/CrashTableTest.kt
@@ -0,0 +1,160 @@
+package gentiandale.core.backend
+
+import gentiandale.core.Incarnation
+import gentiandale.core.ServerId
+import org.junit.jupiter.api.Nested
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+import kotlin.test.assertNull
+import kotlin.test.assertTrue
+
+class CrashTableTest {
+    private val table = CrashTable()
+
+    private fun parts(text: String) = text.split(' ').filter { it.isNotEmpty() }.map(::PromptPart)
+
+    private fun crashId(number: Int) = CrashId(ServerId("d$number"), Incarnation(number.toLong()))
+
+    private fun crash(number: Int, vararg suspects: String, nowMs: Long = 0) =
+        suspects.forEach { table.onCrash(crashId(number), parts(it), nowMs) }
+
+    private fun isRefused(text: String, nowMs: Long = 0) = table.verdict(parts(text), nowMs) is QuarantineVerdict.Refuse
+
+    @Nested
+    inner class DeadlyParts {
+        @Test
+        fun `one crash excludes nothing`() {
+            crash(1, "common deadly")
+            assertEquals(QuarantineVerdict.Admit, table.verdict(parts("common deadly"), 0))
+        }
+
+        @Test
+        fun `a part of two crashes is refused, and the verdict names it`() {
+            crash(1, "a deadly")
+            crash(2, "b deadly")
+            val verdict = assertIs<QuarantineVerdict.Refuse>(table.verdict(parts("c deadly"), 1_000))
+            assertEquals(PromptPart("deadly"), verdict.part)
+            assertEquals(2, verdict.crashes)
+            assertEquals(CrashTable.RETENTION_MS - 1_000, verdict.leftMs)
+        }
+
+        @Test
+        fun `reports of several VMs on one crash count once`() {
+            crash(1, "a deadly", "b deadly", "c deadly")
+            assertTrue(!isRefused("d deadly"))
+        }
+
+        @Test
+        fun `a bystander of both crashes is no explanation for requests that it does not share`() {
+            crash(1, "common deadly", "session")
+            crash(2, "common deadly", "session")
+            assertTrue(isRefused("common deadly"))
+        }
+    }
+
+    @Nested
+    inner class SoundParts {
+        @Test
+        fun `a request with only one of two equal suspects is admitted, since it tells them apart`() {
+            crash(1, "common deadly")
+            crash(2, "common deadly")
+            assertTrue(isRefused("common deadly"))
+            assertTrue(!isRefused("common"))
+            assertTrue(!isRefused("deadly"))
+        }
+
+        @Test
+        fun `an answered part is cleared, the other one is refused alone`() {
+            crash(1, "common deadly")
+            crash(2, "common deadly")
+            assertEquals(2, table.onAnswered(parts("common"), 0).size)
+            assertTrue(!isRefused("common"))
+            assertTrue(isRefused("deadly"))
+            assertTrue(isRefused("other deadly"))
+        }
+
+        @Test
+        fun `a third crash decides which of two equal suspects is deadly`() {
+            crash(1, "common deadly")
+            crash(2, "common deadly")
+            crash(3, "deadly")
+            assertTrue(isRefused("deadly"))
+            assertTrue(!isRefused("common"))
+        }
+
+        @Test
+        fun `a cleared part is suspected again by later crashes`() {
+            crash(1, "common")
+            table.onAnswered(parts("common"), 0)
+            crash(2, "common")
+            assertTrue(!isRefused("common"))
+            crash(3, "common")
+            assertTrue(isRefused("common"))
+        }
+
+        @Test
+        fun `crashes are forgotten`() {
+            crash(1, "deadly", nowMs = 0)
+            crash(2, "deadly", nowMs = 5_000)
+            assertTrue(isRefused("deadly", CrashTable.RETENTION_MS - 1))
+            assertTrue(!isRefused("deadly", CrashTable.RETENTION_MS))
+        }
+    }
+
+    @Nested
+    inner class Merging {
+        private fun record(number: Int, suspects: Set<List<PromptPart>>, cleared: Set<PromptPart> = emptySet()) =
+            CrashRecord(crashId(number), ageMs = 10, suspects, cleared)
+
+        @Test
+        fun `the result does not depend on the order and number of records`() {
+            val records = listOf(
+                record(1, setOf(parts("a deadly"))),
+                record(1, setOf(parts("b")), setOf(PromptPart("b"))),
+                record(2, setOf(parts("a deadly")), setOf(PromptPart("a"))),
+                record(1, setOf(parts("a deadly")), setOf(PromptPart("a"))),
+            )
+            val digests = (0 until 50L).map { seed ->
+                val merged = CrashTable()
+                (records + records).shuffled(Random(seed)).forEach { merged.merge(it, 100) }
+                assertIs<QuarantineVerdict.Refuse>(merged.verdict(parts("deadly"), 100))
+                assertEquals(QuarantineVerdict.Admit, merged.verdict(parts("a b"), 100))
+                merged.digest(100)
+            }
+            assertEquals(1, digests.toSet().size)
+        }
+
+        @Test
+        fun `a known record changes nothing, an expired one is ignored`() {
+            val known = record(1, setOf(parts("a")))
+            assertEquals(known, table.merge(known, 50))
+            assertNull(table.merge(known, 60))
+            assertNull(table.merge(record(2, setOf(parts("a"))).copy(ageMs = CrashTable.RETENTION_MS), 60))
+        }
+
+        @Test
+        fun `the age of a record survives its transfer, so that it is not kept alive by being passed on`() {
+            table.onCrash(crashId(1), parts("a"), 1_000)
+            val other = CrashTable()
+            table.records(5_000).forEach { other.merge(it, 100_000) }
+            assertEquals(1, other.records(96_000 + CrashTable.RETENTION_MS - 1).size)
+            assertTrue(other.records(96_000 + CrashTable.RETENTION_MS).isEmpty())
+        }
+
+        @Test
+        fun `requests without shared parts leave no record`() {
+            assertNull(table.onCrash(crashId(1), emptyList(), 0))
+            assertTrue(table.isEmpty)
+        }
+
+        @Test
+        fun `the size is bounded, the oldest crash goes first`() {
+            repeat(500) { number -> crash(number, (0 until 50).joinToString(" ") { "p$number-$it" }) }
+            assertTrue(table.size <= 64)
+            assertTrue(table.records(0).none { it.id == crashId(0) })
+            assertTrue(table.records(0).any { it.id == crashId(499) })
+        }
+    }
+}
--- a/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/ControlHub.kt
+++ b/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/ControlHub.kt
@@ -7,6 +7,8 @@
 import gentiandale.core.backend.BackendRow
 import gentiandale.core.backend.BackendState
 import gentiandale.core.backend.BackendTable
+import gentiandale.core.backend.CrashRecord
+import gentiandale.core.backend.CrashTable
 import gentiandale.core.backend.ReadSpeed
 import gentiandale.core.backend.ServiceName
 import gentiandale.core.log.EventLog
@@ -34,6 +36,7 @@
 ) {
     private class Peer(var version: Long, var digest: Long, var seenMs: Long, var tableMs: Long = Long.MIN_VALUE / 2) {
         var speeds = emptyList<ReadSpeed>()
+        var crashesMs = Long.MIN_VALUE / 2
     }
 
     private val controlVms = ControlVmRegistry(self, log)
@@ -42,6 +45,7 @@
     private val entries = HashMap<VmId, Peer>()
     private val controls = HashMap<VmId, Peer>()
     private val loads = LoadAggregator()
+    private val crashes = CrashTable()
     private val suspicions = SuspicionTracker()
     private var areLoadsChanged = false
     private var lastLoadsMs = Long.MIN_VALUE / 2
@@ -122,6 +126,7 @@
             is FleetMessage.Suspect -> {
                 if (suspicions.report(message.server, from, now)) sendPause(message.server, SuspicionTracker.PAUSE_MS)
             }
+            is FleetMessage.Crashes -> onCrashes(from, message.records, now)
             is FleetMessage.Notice, is FleetMessage.PeerLoad, is FleetMessage.Pause -> Unit
         }
     }
@@ -171,6 +176,23 @@
         val speeds = message.speeds?.let { ReadSpeed.combine(entries.values.flatMap(Peer::speeds)) }
         sender.send(from, notice().copy(speeds = speeds?.ifEmpty { null }))
         sendFullTable(from, entry, message.digest, now)
+        sendAllCrashes(from, entry, message.crashDigest, now)
+    }
+
+    /** Sends all crashes to [to] if its digest differs. The rate is limited as for the table of servers. */
+    private fun sendAllCrashes(to: VmId, entry: Peer, digest: Long, now: Long) {
+        if (digest == crashes.digest(now) || crashes.isEmpty || now - entry.crashesMs < FULL_TABLE_INTERVAL_MS) return
+        entry.crashesMs = now
+        sender.send(to, FleetMessage.Crashes(crashes.records(now)))
+    }
+
+    /** Merges [records] and passes those that are news to the other entry VMs. */
+    private fun onCrashes(from: VmId, records: List<CrashRecord>, now: Long) {
+        val changed = records.mapNotNull { crashes.merge(it, now) }
+        if (changed.isEmpty()) return
+        changed.forEach { log.write(FleetLogEvent.CrashLearned(it, from.value, crashes.size)) }
+        val message = FleetMessage.Crashes(changed)
+        entries.keys.filter { it != from }.forEach { sender.send(it, message) }
     }
 
     private fun onGossip(from: VmId, message: FleetMessage.Gossip, now: Long) {
@@ -212,8 +234,12 @@
         controlVms.all.forEach { sender.send(it, gossip) }
     }
 
-    private fun notice() =
-        FleetMessage.Notice(document?.version ?: 0, controlVms.reachable(clock.monotonicMs()) + self, entries.size)
+    private fun notice() = FleetMessage.Notice(
+        document?.version ?: 0,
+        controlVms.reachable(clock.monotonicMs()) + self,
+        entries.size,
+        crashDigest = crashes.digest(clock.monotonicMs()),
+    )
 
     private fun markSilent(now: Long): List<BackendRow> = table.all
         .filter { !it.silent && it.state != BackendState.GONE && now - (lastRowMs[it.id] ?: now) > silenceMs }
--- a/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/FleetLogEvent.kt
+++ b/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/FleetLogEvent.kt
@@ -3,6 +3,7 @@
 import gentiandale.core.FencingNumber
 import gentiandale.core.VmId
 import gentiandale.core.backend.BackendRow
+import gentiandale.core.backend.CrashRecord
 import gentiandale.core.log.LogEvent
 import gentiandale.core.log.LogLine
 
@@ -20,6 +21,19 @@
         }
     }
 
+    /** The VM [source] has told something new about a crash of an engine; [crashes] are known in all. */
+    public class CrashLearned(
+        private val record: CrashRecord,
+        private val source: String,
+        private val crashes: Int,
+    ) : FleetLogEvent("crash-learned") {
+        override fun describe(line: LogLine) {
+            line.field("server", record.id.server.value).field("incarnation_of_server", record.id.incarnation.value)
+                .field("age_ms", record.ageMs).field("suspects", record.suspects.size)
+                .field("cleared", record.cleared.size).field("crashes", crashes).field("source", source)
+        }
+    }
+
     /** The configuration [version], fetched from [source], came into force on this VM. */
     public class ConfigurationInForce(
         private val version: Long,
--- a/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/FleetMessage.kt
+++ b/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/FleetMessage.kt
@@ -4,6 +4,7 @@
 import gentiandale.core.VmId
 import gentiandale.core.backend.AssignedLoad
 import gentiandale.core.backend.BackendRow
+import gentiandale.core.backend.CrashRecord
 import gentiandale.core.backend.ReadSpeed
 import gentiandale.state.Document
 import kotlinx.serialization.SerialName
@@ -18,6 +19,7 @@
      * @param version version of the sender's configuration; 0 if it has none.
      * @param digest digest of the sender's table of backend servers.
      * @param speeds speeds at which engines have read prompts of the sender; null if they are not part of this message.
+     * @param crashDigest digest of the crashes of engines that the sender knows; 0 if there are none.
      */
     @Serializable
     @SerialName("s")
@@ -25,6 +27,7 @@
         val version: Long,
         val digest: Long,
         val speeds: List<ReadSpeed>? = null,
+        val crashDigest: Long = 0,
     ) : FleetMessage
 
     /**
@@ -35,6 +38,7 @@
      * @param entries number of entry VMs that have subscribed to the sender recently.
      * @param speeds speeds at which engines read prompts, as observed by these VMs; null if they are not part of this
      *   message.
+     * @param crashDigest digest of the crashes of engines that the sender knows; 0 if there are none.
      */
     @Serializable
     @SerialName("n")
@@ -43,6 +47,7 @@
         val controls: List<VmId>,
         val entries: Int,
         val speeds: List<ReadSpeed>? = null,
+        val crashDigest: Long = 0,
     ) : FleetMessage
 
     /**
@@ -83,6 +88,11 @@
     @SerialName("o")
     public data class PeerLoad(val loads: List<AssignedLoad>, val answered: Long = 0) : FleetMessage
 
+    /** Crashes of engines with their suspects, to be merged into the receiver's table. */
+    @Serializable
+    @SerialName("c")
+    public data class Crashes(val records: List<CrashRecord>) : FleetMessage
+
     /** The engine [server] does not answer the sending entry VM. */
     @Serializable
     @SerialName("u")
--- a/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/FleetSubscriber.kt
+++ b/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/FleetSubscriber.kt
@@ -5,6 +5,7 @@
 import gentiandale.core.VmId
 import gentiandale.core.backend.AssignedLoad
 import gentiandale.core.backend.BackendRow
+import gentiandale.core.backend.CrashRecord
 import gentiandale.core.backend.ReadSpeed
 import gentiandale.core.log.EventLog
 import gentiandale.state.Document
@@ -40,6 +41,15 @@
 
     /** Updates the load that the other entry VMs have placed on engines. */
     public fun updatePeerLoads(loads: List<AssignedLoad>)
+
+    /** Digest of the known crashes of engines; 0 if there are none. */
+    public val crashDigest: Long
+
+    /** Known crashes of engines. */
+    public val crashRecords: List<CrashRecord>
+
+    /** Merges what other VMs know about crashes of engines. */
+    public fun mergeCrashes(records: List<CrashRecord>)
 }
 
 /**
@@ -56,6 +66,7 @@
     private val controlVms = ControlVmRegistry(self, log)
     private val startedMs = clock.monotonicMs()
     private var lastFetchMs = Long.MIN_VALUE / 2
+    private var lastCrashesMs = Long.MIN_VALUE / 2
     private var lastNoticeMs: Long? = null
     private var lastRowsMs: Long? = null
     private var reportedTo: VmId? = null
@@ -83,7 +94,7 @@
     public fun tick() {
         controlVms.tick(clock.monotonicMs())
         val speeds = if (tickCount++ % SPEED_TICKS == 0) state.readSpeeds else null
-        val message = FleetMessage.Subscribe(state.version, state.digest, speeds)
+        val message = FleetMessage.Subscribe(state.version, state.digest, speeds, state.crashDigest)
         controlVms.all.forEach { sender.send(it, message) }
         reportLoad()
     }
@@ -130,6 +141,12 @@
         controlVms.all.forEach { sender.send(it, message) }
     }
 
+    /** Passes [records], which this VM has changed, to every known control VM. */
+    public fun reportCrashes(records: List<CrashRecord>) {
+        val message = FleetMessage.Crashes(records)
+        controlVms.all.forEach { sender.send(it, message) }
+    }
+
     /** Handles [message] from the control VM [from]. */
     public fun receive(from: VmId, message: FleetMessage) {
         val now = clock.monotonicMs()
@@ -138,6 +155,7 @@
             is FleetMessage.Configuration -> onConfiguration(from, message.document)
             is FleetMessage.Servers -> onServers(from, message.rows, now)
             is FleetMessage.PeerLoad -> if (from == reportedTo) onPeerLoad(message)
+            is FleetMessage.Crashes -> state.mergeCrashes(message.records)
             is FleetMessage.Pause -> state.pause(message.server, message.forMs)
             is FleetMessage.Subscribe, is FleetMessage.Gossip, is FleetMessage.Fetch, is FleetMessage.LocalLoad -> Unit
             is FleetMessage.Suspect -> Unit
@@ -154,6 +172,12 @@
         controlVms.onMessage(from, notice.controls, now)
         state.setEntryCount(entryCount.onStated(from, notice.entries, now))
         notice.speeds?.let(state::updateReadSpeeds)
+        // The control VM sends what it knows when the digest of the next subscription differs, too.
+        val digest = state.crashDigest
+        if (notice.crashDigest != digest && digest != 0L && now - lastCrashesMs > CRASHES_INTERVAL_MS) {
+            lastCrashesMs = now
+            reportCrashes(state.crashRecords)
+        }
         if (notice.version > state.version && now - lastFetchMs > FETCH_RETRY_MS) {
             lastFetchMs = now
             sender.send(from, FleetMessage.Fetch(state.version))
@@ -176,6 +200,9 @@
         /** An unanswered fetch is repeated, at whichever VM announces the version next, after this time. */
         const val FETCH_RETRY_MS = 200L
 
+        /** Minimum time between two reports of all crashes; tables differ after a lost message or a restart. */
+        const val CRASHES_INTERVAL_MS = 2_000L
+
         /** Speeds change slowly, so that only one message in this many carries them. */
         const val SPEED_TICKS = 4
 
--- a/gentiandale-fleet/src/test/kotlin/gentiandale/fleet/FleetPropagationTest.kt
+++ b/gentiandale-fleet/src/test/kotlin/gentiandale/fleet/FleetPropagationTest.kt
@@ -1,77 +1,19 @@
 package gentiandale.fleet
 
-import gentiandale.core.Address
-import gentiandale.core.DataCentreId
 import gentiandale.core.Incarnation
-import gentiandale.core.ManualClock
-import gentiandale.core.ServerId
 import gentiandale.core.ServerKind
-import gentiandale.core.VmId
 import gentiandale.core.backend.AssignedLoad
-import gentiandale.core.backend.BackendRow
 import gentiandale.core.backend.BackendState
-import gentiandale.core.backend.BackendTable
 import gentiandale.core.backend.ReadSpeed
 import gentiandale.core.backend.ServiceName
 import gentiandale.core.log.EventLog
 import gentiandale.state.Document
-import gentiandale.wire.decodeWire
-import gentiandale.wire.encodeWire
 import org.junit.jupiter.api.Nested
 import kotlin.test.Test
 import kotlin.test.assertEquals
 
 /** Propagation of state between control VMs and entry VMs, in virtual time and with links that can be cut. */
-class FleetPropagationTest {
-    private class EntryVm(val id: VmId, clock: ManualClock, sender: FleetSender) : SubscriberState {
-        val table = BackendTable()
-        var peerLoads = mapOf<ServerId, AssignedLoad>()
-        override var version = 0L
-        override val digest get() = table.digest()
-        override var localLoad = emptyList<AssignedLoad>()
-        val subscriber = FleetSubscriber(id, clock, sender, this, EventLog.NONE)
-
-        override fun applyConfiguration(document: Document, source: VmId): Boolean {
-            version = document.version
-            return true
-        }
-
-        override fun merge(row: BackendRow) = table.merge(row)
-
-        var entryCounts = ArrayList<Int>()
-
-        override fun setEntryCount(count: Int) {
-            entryCounts += count
-        }
-
-        override fun updatePeerLoads(loads: List<AssignedLoad>) {
-            peerLoads = peerLoads + loads.associateBy { it.id }
-        }
-
-        override var readSpeeds = emptyList<ReadSpeed>()
-        var sharedSpeeds = emptyList<ReadSpeed>()
-
-        override fun updateReadSpeeds(speeds: List<ReadSpeed>) {
-            sharedSpeeds = speeds
-        }
-
-        override fun pause(server: ServerId, forMs: Long) = Unit
-    }
-
-    private val clock = ManualClock(1_000)
-    private val cut = HashSet<Set<VmId>>()
-    private val queue = ArrayDeque<Triple<VmId, VmId, ByteArray>>()
-    private val controls = List(4) { VmId("10.0.$it.1") }
-    private val hubs: MutableMap<VmId, ControlHub> = controls.associateWithTo(HashMap()) { id ->
-        ControlHub(id, clock, sender(id), EventLog.NONE, silenceMs = 4_800).also {
-            it.setSeeds(controls.take(3).toSet())
-        }
-    }
-    private val entries = List(3) { i ->
-        val id = VmId("10.9.$i.1")
-        EntryVm(id, clock, sender(id)).also { it.subscriber.setSeeds(controls.take(3).toSet()) }
-    }
-
+class FleetPropagationTest : VirtualFleet() {
     @Nested
     inner class ServerTable {
         @Test
@@ -258,47 +200,4 @@
             assertEquals(0, entries[1].peerLoads[SERVER]?.memoryTokens)
         }
     }
-
-    private fun sender(from: VmId) = FleetSender { to, message ->
-        if (setOf(from, to) !in cut) queue.addLast(Triple(from, to, encodeWire<FleetMessage>(message)))
-    }
-
-    private fun advance(ms: Long) {
-        val end = clock.monotonicMs() + ms
-        while (clock.monotonicMs() < end) {
-            clock.advance(STEP_MS)
-            if (clock.monotonicMs() % ControlHub.TICK_MS == 0L) {
-                hubs.values.forEach { it.tick() }
-                entries.forEach { it.subscriber.tick() }
-            }
-            hubs.values.forEach { it.tickLoads() }
-            deliver()
-        }
-    }
-
-    private fun deliver() {
-        while (queue.isNotEmpty()) {
-            val (from, to, bytes) = queue.removeFirst()
-            val message = decodeWire<FleetMessage>(bytes)
-            hubs[to]?.receive(from, message)
-            entries.find { it.id == to }?.subscriber?.receive(from, message)
-        }
-    }
-
-    private fun row(sequence: Long, state: BackendState = BackendState.READY) = BackendRow(
-        SERVER,
-        Incarnation(1),
-        sequence,
-        ServiceName("e"),
-        Address("10.0.0.9", 1),
-        DataCentreId("a"),
-        state,
-        ServerKind.DECODE,
-        128,
-    )
-
-    private companion object {
-        val SERVER = ServerId("s")
-        const val STEP_MS = 50L
-    }
 }
--- /dev/null
+++ b/gentiandale-fleet/src/test/kotlin/gentiandale/fleet/VirtualFleet.kt
@@ -0,0 +1,145 @@
+package gentiandale.fleet
+
+import gentiandale.core.Address
+import gentiandale.core.DataCentreId
+import gentiandale.core.Incarnation
+import gentiandale.core.ManualClock
+import gentiandale.core.ServerId
+import gentiandale.core.ServerKind
+import gentiandale.core.VmId
+import gentiandale.core.backend.AssignedLoad
+import gentiandale.core.backend.BackendRow
+import gentiandale.core.backend.BackendState
+import gentiandale.core.backend.BackendTable
+import gentiandale.core.backend.CrashId
+import gentiandale.core.backend.CrashRecord
+import gentiandale.core.backend.CrashTable
+import gentiandale.core.backend.PromptPart
+import gentiandale.core.backend.QuarantineVerdict
+import gentiandale.core.backend.ReadSpeed
+import gentiandale.core.backend.ServiceName
+import gentiandale.core.log.EventLog
+import gentiandale.state.Document
+import gentiandale.wire.decodeWire
+import gentiandale.wire.encodeWire
+
+/** Control VMs and entry VMs in virtual time, with links that can be cut. */
+abstract class VirtualFleet {
+    class EntryVm(val id: VmId, clock: ManualClock, sender: FleetSender) : SubscriberState {
+        val table = BackendTable()
+        var peerLoads = mapOf<ServerId, AssignedLoad>()
+        override var version = 0L
+        override val digest get() = table.digest()
+        override var localLoad = emptyList<AssignedLoad>()
+        val subscriber = FleetSubscriber(id, clock, sender, this, EventLog.NONE)
+
+        override fun applyConfiguration(document: Document, source: VmId): Boolean {
+            version = document.version
+            return true
+        }
+
+        override fun merge(row: BackendRow) = table.merge(row)
+
+        var entryCounts = ArrayList<Int>()
+
+        override fun setEntryCount(count: Int) {
+            entryCounts += count
+        }
+
+        override fun updatePeerLoads(loads: List<AssignedLoad>) {
+            peerLoads = peerLoads + loads.associateBy { it.id }
+        }
+
+        override var readSpeeds = emptyList<ReadSpeed>()
+        var sharedSpeeds = emptyList<ReadSpeed>()
+
+        override fun updateReadSpeeds(speeds: List<ReadSpeed>) {
+            sharedSpeeds = speeds
+        }
+
+        private val crashes = CrashTable()
+        private val now = clock::monotonicMs
+        override val crashDigest get() = crashes.digest(now())
+        override val crashRecords get() = crashes.records(now())
+
+        override fun mergeCrashes(records: List<CrashRecord>) {
+            records.forEach { crashes.merge(it, now()) }
+        }
+
+        /** Records a crash that this VM has seen, and tells the other VMs. */
+        fun report(id: CrashId, parts: List<PromptPart>) =
+            subscriber.reportCrashes(listOfNotNull(crashes.onCrash(id, parts, now())))
+
+        /** Records that an engine has answered [parts], and tells the other VMs. */
+        fun clear(parts: List<PromptPart>) = subscriber.reportCrashes(crashes.onAnswered(parts, now()))
+
+        /** Returns whether this VM keeps requests with [parts] away from engines. */
+        fun refuses(parts: List<PromptPart>) = crashes.verdict(parts, now()) is QuarantineVerdict.Refuse
+
+        override fun pause(server: ServerId, forMs: Long) = Unit
+    }
+
+    protected val clock = ManualClock(1_000)
+    protected val cut = HashSet<Set<VmId>>()
+    protected val queue = ArrayDeque<Triple<VmId, VmId, ByteArray>>()
+    protected val controls = List(4) { VmId("10.0.$it.1") }
+    protected val hubs: MutableMap<VmId, ControlHub> = controls.associateWithTo(HashMap(), ::newHub)
+    protected val entries = MutableList(3) { newEntry(VmId("10.9.$it.1")) }
+
+    /** Messages that entry VMs have sent. */
+    protected val sent = ArrayList<FleetMessage>()
+
+    /** Returns a control VM that has just started. */
+    protected fun newHub(id: VmId) = ControlHub(id, clock, sender(id), EventLog.NONE, silenceMs = 4_800).also {
+        it.setSeeds(controls.take(3).toSet())
+    }
+
+    /** Returns an entry VM that has just started. */
+    protected fun newEntry(id: VmId) = EntryVm(id, clock, sender(id)).also {
+        it.subscriber.setSeeds(controls.take(3).toSet())
+    }
+
+    protected fun sender(from: VmId) = FleetSender { to, message ->
+        if (setOf(from, to) !in cut) queue.addLast(Triple(from, to, encodeWire<FleetMessage>(message)))
+    }
+
+    protected fun advance(ms: Long) {
+        val end = clock.monotonicMs() + ms
+        while (clock.monotonicMs() < end) {
+            clock.advance(STEP_MS)
+            if (clock.monotonicMs() % ControlHub.TICK_MS == 0L) {
+                hubs.values.forEach { it.tick() }
+                entries.forEach { it.subscriber.tick() }
+            }
+            hubs.values.forEach { it.tickLoads() }
+            deliver()
+        }
+    }
+
+    protected fun deliver() {
+        while (queue.isNotEmpty()) {
+            val (from, to, bytes) = queue.removeFirst()
+            val message = decodeWire<FleetMessage>(bytes)
+            if (from !in hubs) sent += message
+            hubs[to]?.receive(from, message)
+            entries.find { it.id == to }?.subscriber?.receive(from, message)
+        }
+    }
+
+    protected fun row(sequence: Long, state: BackendState = BackendState.READY) = BackendRow(
+        SERVER,
+        Incarnation(1),
+        sequence,
+        ServiceName("e"),
+        Address("10.0.0.9", 1),
+        DataCentreId("a"),
+        state,
+        ServerKind.DECODE,
+        128,
+    )
+
+    protected companion object {
+        val SERVER = ServerId("s")
+        const val STEP_MS = 50L
+    }
+}
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/Relay.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/Relay.kt
@@ -6,6 +6,7 @@
 import gentiandale.core.ServerKind
 import gentiandale.core.backend.AssignedLoad
 import gentiandale.core.backend.BackendRow
+import gentiandale.core.backend.CrashRecord
 import gentiandale.core.backend.ReadSpeed
 import gentiandale.core.backend.ServiceName
 import gentiandale.core.log.EventLog
@@ -22,11 +23,13 @@
 import gentiandale.relay.request.GenerationRequestHandler
 import gentiandale.relay.request.PlacementPolicies
 import gentiandale.relay.request.PlainRequestHandler
+import gentiandale.relay.request.PromptQuarantine
 import gentiandale.relay.request.RelayContext
 import gentiandale.relay.request.RoutedRequest
 import gentiandale.relay.request.endToEnd
 import gentiandale.relay.routing.RoutingTable
 import gentiandale.relay.routing.drawService
+import gentiandale.relay.upstream.CrashDetector
 import gentiandale.relay.upstream.Dialect
 import gentiandale.relay.upstream.Transport
 import gentiandale.relay.upstream.Upstreams
@@ -66,6 +69,7 @@
     private val budgets = HashMap<ServiceName, RetryBudget>()
     private var isReportScheduled = false
     private var shutdown: ShutdownWindow? = null
+    private val ownListener = CoalescingListener()
     private val context = RelayContext(
         loop = transport.loop,
         clock = clock,
@@ -77,12 +81,13 @@
             generationPlacement = GenerationPlacement(settings.dataCentre, random),
             answerLengths = AnswerLengthEstimator(),
             rejections = RejectionPolicy(random),
+            quarantine = PromptQuarantine(CrashDetector(transport), clock::monotonicMs, log, stats, ownListener),
             budgetOf = ::budgetOf,
             random = random,
         ),
         log = log,
         stats = stats,
-        listener = CoalescingListener(),
+        listener = ownListener,
     )
 
     /** Routing table in force, or null before the first one has been installed. */
@@ -144,6 +149,18 @@
         registry.speeds.setShared(speeds)
     }
 
+    /** Digest of the known crashes of engines, used to compare them with other VMs; 0 if there are none. */
+    public val crashDigest: Long get() = context.quarantine.table.digest(clock.monotonicMs())
+
+    /** Known crashes of engines. */
+    public val crashRecords: List<CrashRecord> get() = context.quarantine.table.records(clock.monotonicMs())
+
+    /** Merges what other VMs know about crashes of engines. */
+    public fun mergeCrashes(records: List<CrashRecord>) {
+        context.quarantine.merge(records)
+        context.queue.endQuarantined()
+    }
+
     private fun scheduleLoadReport() {
         if (isReportScheduled) return
         isReportScheduled = true
@@ -163,6 +180,11 @@
 
         override fun onDeparting(row: BackendRow) = listener.onDeparting(row)
 
+        override fun onCrashEvidence(records: List<CrashRecord>) {
+            listener.onCrashEvidence(records)
+            context.queue.endQuarantined()
+        }
+
         override fun confirmLoad(done: () -> Unit) {
             var isDone = false
             val doneOnce = {
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/RelayEvent.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/RelayEvent.kt
@@ -3,6 +3,7 @@
 import gentiandale.core.ServerId
 import gentiandale.core.backend.AssignedLoad
 import gentiandale.core.backend.BackendRow
+import gentiandale.core.backend.CrashRecord
 import gentiandale.core.backend.PromptPart
 import gentiandale.core.log.LogEvent
 import gentiandale.core.log.LogLine
@@ -93,6 +94,29 @@
         }
     }
 
+    /**
+     * The suspects of a crash of an engine have changed.
+     *
+     * @param kind `crash` for a suspect of this VM, `cleared` for parts that [server] has answered, `learned` for news
+     *   of another VM.
+     * @param crashes number of known crashes.
+     */
+    public class CrashEvidence(
+        private val kind: String,
+        private val request: String?,
+        private val server: ServerId,
+        private val record: CrashRecord,
+        private val crashes: Int,
+    ) : RelayEvent("crash-evidence") {
+        override fun describe(line: LogLine) {
+            val suspected = record.suspects.flatten().toSet() - record.cleared
+            line.field("kind", kind).field("request", request).field("server", server.value)
+                .field("crashed", record.id.server.value).field("incarnation_of_server", record.id.incarnation.value)
+                .field("age_ms", record.ageMs).field("suspects", record.suspects.size)
+                .field("parts", suspected.take(MAX_LOGGED_PARTS).joinToString(",")).field("crashes", crashes)
+        }
+    }
+
     /**
      * Engine capacity was reserved for a generation.
      *
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/RelayListener.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/RelayListener.kt
@@ -2,6 +2,7 @@
 
 import gentiandale.core.ServerId
 import gentiandale.core.backend.BackendRow
+import gentiandale.core.backend.CrashRecord
 
 /** Receives events of a relay that concern the other VMs. Called on the event loop. */
 public interface RelayListener {
@@ -14,6 +15,9 @@
     /** Called when a server has said in an answer that it leaves; [row] is its changed row. */
     public fun onDeparting(row: BackendRow)
 
+    /** Called with the records of engine crashes of which this VM has learned something new. */
+    public fun onCrashEvidence(records: List<CrashRecord>)
+
     /** Reports the load at once, and calls [done] when the load placed earlier by other VMs is known, or soon after. */
     public fun confirmLoad(done: () -> Unit)
 
@@ -27,6 +31,8 @@
 
             override fun onDeparting(row: BackendRow) = Unit
 
+            override fun onCrashEvidence(records: List<CrashRecord>) = Unit
+
             override fun confirmLoad(done: () -> Unit) = done()
         }
     }
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/RelayMetrics.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/RelayMetrics.kt
@@ -31,6 +31,14 @@
         .help("Answers of servers that reached their end, by how that is marked and by whether the answer was whole.")
         .labelNames("framing", "whole")
         .register(registry)
+    private val suspectedCrashes = Counter.builder()
+        .name("gentiandale_suspected_crashes_total")
+        .help("Requests at an engine that crashed before it had established their answer.")
+        .register(registry)
+    private val quarantined = Counter.builder()
+        .name("gentiandale_quarantined_requests_total")
+        .help("Requests kept away from engines because of a part of their prompt.")
+        .register(registry)
     private val duration = histogram(registry, "gentiandale_request_duration_seconds", "Time to the end of a request.")
     private val first = histogram(registry, "gentiandale_first_byte_seconds", "Time to the first byte of the answer.")
 
@@ -56,6 +64,14 @@
         serverAnswers.labelValues(framing, isWhole.toString()).inc()
     }
 
+    override fun onSuspectedCrash() {
+        suspectedCrashes.inc()
+    }
+
+    override fun onQuarantined() {
+        quarantined.inc()
+    }
+
     private fun histogram(registry: PrometheusRegistry, name: String, help: String) = Histogram.builder()
         .name(name)
         .help(help)
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/RelayStats.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/RelayStats.kt
@@ -17,6 +17,12 @@
     /** Records an answer of a server that reached the end that its [framing] shows, and whether it [isWhole]. */
     public fun onServerAnswer(framing: String, isWhole: Boolean)
 
+    /** Records that an engine crashed before the answer to a request of this VM was established. */
+    public fun onSuspectedCrash()
+
+    /** Records a request that was kept away from engines because of a part of its prompt. */
+    public fun onQuarantined()
+
     /** Provides an implementation without effect. */
     public companion object {
         /** Discards all measurements. */
@@ -30,6 +36,10 @@
             override fun onServerNotice(kind: String) = Unit
 
             override fun onServerAnswer(framing: String, isWhole: Boolean) = Unit
+
+            override fun onSuspectedCrash() = Unit
+
+            override fun onQuarantined() = Unit
         }
     }
 }
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/GenerationCall.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/GenerationCall.kt
@@ -32,6 +32,9 @@
         /** Called after each event that has been forwarded. */
         fun onEvent()
 
+        /** Called once when [generation] has shown that its engine can answer the request. */
+        fun onEstablished(generation: GenerationCall)
+
         /** Called when the whole answer has been forwarded with [status]. */
         fun onCompleted(status: Int)
 
@@ -50,6 +53,11 @@
     private val body = AnswerBuffer(MAX_ERROR_BODY_BYTES)
     override var eventCount = 0
         private set
+    private var firstEventMs: Long? = null
+
+    /** Whether the engine has shown that it can answer the request. */
+    var isEstablished = false
+        private set
     private var isPrefilling = source == null
     private var sentMs = context.nowMs()
 
@@ -83,7 +91,7 @@
     }
 
     private fun forward(event: StreamEvent, answer: HttpResponse) {
-        if (!event.isComment) eventCount++
+        if (!event.isComment) countEvent()
         if (listener.hasEnded || stream.hasSent(event)) {
             event.bytes.release()
             return
@@ -92,6 +100,18 @@
         if (!event.isComment) listener.onEvent()
     }
 
+    private fun countEvent() {
+        eventCount++
+        val firstMs = firstEventMs ?: context.nowMs().also { firstEventMs = it }
+        if (eventCount > 1 && context.nowMs() - firstMs >= ESTABLISHED_MS) establish()
+    }
+
+    private fun establish() {
+        if (isEstablished) return
+        isEstablished = true
+        listener.onEstablished(this)
+    }
+
     private fun endPrefill() {
         if (!isPrefilling) return
         isPrefilling = false
@@ -109,6 +129,7 @@
         val answer = head ?: return
         val status = answer.status().code()
         if (isStream(answer)) {
+            establish()
             stream.end(splitter.takeRemainder(), answer)
             return listener.onCompleted(status)
         }
@@ -143,6 +164,9 @@
         /** Time in milliseconds for the body of an error, after which the request is worth more elsewhere. */
         const val ERROR_BODY_TIMEOUT_MS = 500L
 
+        /** An engine that a request crashes ends within a few steps after it has begun the answer. */
+        const val ESTABLISHED_MS = 300L
+
         /** Many times the size of an event with a few tokens. */
         const val MAX_EVENT_BYTES = 262_144
     }
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/GenerationQueue.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/GenerationQueue.kt
@@ -14,6 +14,9 @@
         /** Starts if there is capacity, and returns whether the entry is done with the queue. */
         fun tryStart(): Boolean
 
+        /** Ends the request, which leaves the queue, and returns true, if it must be kept away from engines. */
+        fun endIfQuarantined(): Boolean
+
         /** Ends the wait because of [reason]. */
         fun reject(reason: String)
     }
@@ -37,6 +40,11 @@
     /** Returns whether [queued] can no longer meet its target. */
     fun isLate(queued: QueuedGeneration): Boolean = order.isLate(queued, nowMs())
 
+    /** Ends the queued generations that must be kept away from engines by now. */
+    fun endQuarantined() {
+        entries.toList().forEach { it.endIfQuarantined() }
+    }
+
     fun remove(entry: Entry) {
         entries -= entry
     }
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/GenerationRequestHandler.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/GenerationRequestHandler.kt
@@ -2,6 +2,7 @@
 
 import gentiandale.core.ServerId
 import gentiandale.core.ServerKind
+import gentiandale.core.backend.QuarantineVerdict
 import gentiandale.relay.RelayEvent
 import gentiandale.relay.backend.Backend
 import gentiandale.relay.backend.GenerationMemory
@@ -58,6 +59,7 @@
     override fun reject(reason: String) = refuseOrFail(reason)
 
     override fun tryStart(): Boolean {
+        if (endIfQuarantined()) return true
         val now = context.nowMs()
         val excluded = if (prefillCount < MAX_PREFILL_CALLS) tried else tried + prefillServers()
         val engineRule = if (context.queue.isLate(queued)) engine?.forLateWork() else engine
@@ -101,6 +103,13 @@
         context.log.write(RelayEvent.Reserved(routed.id, plan.decode.load, prefill, size, need, parts, waitedMs, ahead))
     }
 
+    override fun endIfQuarantined(): Boolean {
+        val verdict = context.quarantine.verdict(parts) as? QuarantineVerdict.Refuse ?: return false
+        context.stats.onQuarantined()
+        refuseOrFail("prompt part ${verdict.part} is suspected of ${verdict.crashes} engine crashes", verdict.leftMs)
+        return true
+    }
+
     private fun prefillServers() =
         context.candidates(routed.service).filter { it.row.kind == ServerKind.PREFILL }.map { it.row.id }
 
@@ -110,8 +119,10 @@
         context.loop.execute(context.queue::admit)
     }
 
-    private fun refuseOrFail(reason: String) {
-        val retryMs = context.restLeftMs(routed.service) ?: RETRY_AFTER_MS
+    private fun refuseOrFail(
+        reason: String,
+        retryMs: Long = context.restLeftMs(routed.service) ?: RETRY_AFTER_MS,
+    ) {
         if (runState == RunState.NOT_RUN && !stream.hasBegun) refuse(reason, retryMs) else fail(reason)
     }
 
@@ -157,21 +168,12 @@
     /** Starts the generation on [server], from the KV cache if there is one, otherwise by reading the prompt there. */
     private fun startGeneration(server: Backend) {
         if (attempts > 0 && runState == RunState.MAY_HAVE_RUN && !mayRetry()) return fail("no retry allowed")
+        if (endIfQuarantined()) return
         if (!takeRetryBudget()) return refuseOrFail("retry budget of ${routed.service.value} exhausted")
         val source = cache
         cache = null
-        val send = send(
-            server,
-            if (source ==
-                null
-            ) {
-                "run"
-            } else {
-                "decode"
-            },
-            Long.MAX_VALUE,
-            GenerationCall(server, source, size.prompt, stream, context, this),
-        )
+        val call = GenerationCall(server, source, size.prompt, stream, context, this)
+        val send = send(server, if (source == null) "run" else "decode", Long.MAX_VALUE, call)
         currentSend = send
         val prefillMs = if (source == null) context.generationPlacement.prefillMs(server, size.prompt) else 0.0
         watchEvents(send, (prefillMs * PREFILL_TIMEOUT_FACTOR).toLong() + FIRST_EVENT_MARGIN_MS, 0)
@@ -251,6 +253,9 @@
         currentSend?.let { watchEvents(it, EVENT_GAP_TIMEOUT_MS, 0) }
     }
 
+    override fun onEstablished(generation: GenerationCall) =
+        context.quarantine.onEstablished(routed.id, generation.server, parts)
+
     override fun onCompleted(status: Int) {
         context.answerLengths.observe(route.name, need.generatedTokens)
         finish("answered", status)
@@ -289,6 +294,9 @@
 
     override fun onCallFailed(generation: GenerationCall, failure: SendFailure) {
         tried += generation.server.row.id
+        if (failure is SendFailure.Broken && !generation.isEstablished) {
+            context.quarantine.onBroken(routed.id, generation.server, parts)
+        }
         when {
             failure is SendFailure.NotSent && generation.source != null -> {
                 cache = generation.source
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/RelayContext.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/RelayContext.kt
@@ -27,6 +27,7 @@
     val generationPlacement: GenerationPlacement,
     val answerLengths: AnswerLengthEstimator,
     val rejections: RejectionPolicy,
+    val quarantine: PromptQuarantine,
     val budgetOf: (ServiceName) -> RetryBudget,
     val random: Random,
 )
@@ -52,6 +53,7 @@
     val plainPlacement get() = policies.plainPlacement
     val generationPlacement get() = policies.generationPlacement
     val answerLengths get() = policies.answerLengths
+    val quarantine get() = policies.quarantine
     val random get() = policies.random
 
     /** Returns the retry budget of [service]. */
--- a/gentiandale-relay/src/test/kotlin/gentiandale/relay/QueryOfDeathTest.kt
+++ b/gentiandale-relay/src/test/kotlin/gentiandale/relay/QueryOfDeathTest.kt
@@ -1,9 +1,16 @@
 package gentiandale.relay
 
+import gentiandale.core.Incarnation
+import gentiandale.core.ServerId
 import gentiandale.core.ServerKind
+import gentiandale.core.backend.CrashId
+import gentiandale.core.backend.CrashRecord
+import gentiandale.core.backend.PromptPart
 import gentiandale.relay.CrashingEngine.Companion.parts
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Nested
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.concurrent.thread
 import kotlin.test.Test
@@ -95,6 +102,40 @@
         }
     }
 
+    @Nested
+    inner class Refusals {
+        private fun learn() = relay.mergeCrashes(
+            listOf(1, 2).map {
+                val id = CrashId(ServerId("d$it"), Incarnation(1))
+                CrashRecord(id, ageMs = 0, suspects = setOf(listOf(PromptPart("deadly"))))
+            },
+        )
+
+        private fun assertRefused(answer: String) {
+            assertTrue(answer.startsWith("HTTP/1.1 503"), answer)
+            assertTrue("retry-after" in answer.lowercase())
+            assertEquals(0, arrivalsWith("deadly"))
+        }
+
+        @Test
+        fun `evidence of other VMs refuses a request at once, before it reaches a server`() {
+            start()
+            learn()
+            assertRefused(get(1, "common", "deadly"))
+            assertTrue(get(2, "common").startsWith("HTTP/1.1 200"))
+        }
+
+        @Test
+        fun `evidence refuses a request that is queued`() {
+            start()
+            (0 until ENGINES).forEach { relay.reportPeerLoad("d$it", memoryTokens = 10_000) }
+            val answer = CompletableFuture.supplyAsync { get(1, "common", "deadly") }
+            Thread.sleep(DOWN_MS)
+            learn()
+            assertRefused(answer.get(DOWN_MS, TimeUnit.MILLISECONDS))
+        }
+    }
+
     private companion object {
         const val ENGINES = 4
         const val DOWN_MS = 300L
--- a/gentiandale-relay/src/test/kotlin/gentiandale/relay/RelayFixture.kt
+++ b/gentiandale-relay/src/test/kotlin/gentiandale/relay/RelayFixture.kt
@@ -6,6 +6,7 @@
 import gentiandale.core.SystemClock
 import gentiandale.core.backend.AssignedLoad
 import gentiandale.core.backend.BackendRow
+import gentiandale.core.backend.CrashRecord
 import gentiandale.core.log.EventLog
 import gentiandale.relay.caller.HttpServer
 import gentiandale.relay.routing.EngineRule
@@ -78,6 +79,14 @@
     /** Rows of servers that the relay reported as departing. */
     val departed = CopyOnWriteArrayList<BackendRow>()
 
+    /** Crash records that the relay has reported for the other VMs. */
+    val crashEvidence = CopyOnWriteArrayList<CrashRecord>()
+
+    /** Merges [records], as from a control VM. */
+    fun mergeCrashes(records: List<CrashRecord>) {
+        transport.loop.submit { relay.mergeCrashes(records) }.get()
+    }
+
     private inner class Listener : RelayListener {
         override fun onLoadChanged() = Unit
 
@@ -87,6 +96,10 @@
             departed += row
         }
 
+        override fun onCrashEvidence(records: List<CrashRecord>) {
+            crashEvidence += records
+        }
+
         override fun confirmLoad(done: () -> Unit) {
             onConfirm()
             onConfirm = {}
