Log what backend servers say about their request limits

The answer head is now read for it (`AnswerDialect.requestLimit`), and each change of it is logged as `limit-stated` with server, incarnation and value, once per VM and change, so that the volume stays bounded. Nothing is decided by it yet.

--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/RelayEvent.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/RelayEvent.kt
@@ -94,6 +94,22 @@
         }
     }
 
+    /**
+     * A server said something else than before about the requests that it takes from all VMs together.
+     *
+     * @param stated requests a second, as written in the answer, or null if the answer named no limit.
+     */
+    public class LimitStated(
+        private val request: String?,
+        private val server: BackendRow,
+        private val stated: String?,
+    ) : RelayEvent("limit-stated") {
+        override fun describe(line: LogLine) {
+            line.field("request", request).field("server", server.id.value)
+                .field("incarnation_of_server", server.incarnation.value).field("limit_per_s", stated)
+        }
+    }
+
     /**
      * The suspects of a crash of an engine have changed.
      *
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/backend/Backend.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/backend/Backend.kt
@@ -96,6 +96,9 @@
     /** Returns whether the server has asked this VM to send no requests at [nowMs]. */
     public fun isResting(nowMs: Long): Boolean = nowMs < restUntilMs
 
+    /** What the last answer said about the requests that the server takes from all VMs together, or null. */
+    internal var statedLimit: String? = null
+
     /** Whether the server accepts new work. */
     public val isReady: Boolean get() = row.acceptsWork
 
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/RelayContext.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/RelayContext.kt
@@ -73,6 +73,7 @@
             listener.onDeparting(row)
             noteServer(request, server, "leaving", null)
         }
+        readLimit(server, request, head)
         val retryAfter = head.headers().get(HttpHeaderNames.RETRY_AFTER)
         val date = head.headers().get(HttpHeaderNames.DATE)
         val restMs = RestPolicy.restMs(head.status().code(), retryAfter, date, clock.wallMs()) ?: return
@@ -80,8 +81,21 @@
         noteServer(request, server, "rest", restMs)
     }
 
+    private fun readLimit(server: Backend, request: String?, head: HttpResponse) {
+        val stated = dialect.requestLimit(head.headers())?.take(MAX_LIMIT_LENGTH)
+        if (stated == server.statedLimit) return
+        server.statedLimit = stated
+        log.write(RelayEvent.LimitStated(request, server.row, stated))
+        stats.onServerNotice("limit")
+    }
+
     private fun noteServer(request: String?, server: Backend, kind: String, restMs: Long?) {
         log.write(RelayEvent.ServerNotice(request, server.row, kind, restMs))
         stats.onServerNotice(kind)
     }
+
+    private companion object {
+        /** Longer than any number that makes sense as a limit. */
+        const val MAX_LIMIT_LENGTH = 32
+    }
 }
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/upstream/AnswerDialect.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/upstream/AnswerDialect.kt
@@ -10,6 +10,9 @@
     /** Returns whether a server says in its answer that it leaves and must get no new requests. */
     public fun isLeaving(headers: HttpHeaders): Boolean
 
+    /** Returns what a server says in its answer about the requests that it takes from all VMs together, or null. */
+    public fun requestLimit(headers: HttpHeaders): String?
+
     /** Returns whether an answer carries the signature of a server. */
     public fun isSigned(headers: HttpHeaders): Boolean
 }
--- a/gentiandale-relay/src/test/kotlin/gentiandale/relay/TestDialect.kt
+++ b/gentiandale-relay/src/test/kotlin/gentiandale/relay/TestDialect.kt
@@ -49,6 +49,8 @@
 
     override fun isLeaving(headers: HttpHeaders): Boolean = headers.contains("leaving")
 
+    override fun requestLimit(headers: HttpHeaders): String? = headers.get("limit")
+
     override fun isSigned(headers: HttpHeaders): Boolean = headers.contains("signed")
 
     override fun prefillHandle(body: ByteBuf): String? = body.toString(Charsets.UTF_8).takeIf { it.startsWith("h") }
