Keep to the request limits that servers name, for all VMs together

Cause: nothing read `Server-Limit`, so that servers were chosen by latency and running requests alone. The class of the fault is a limit on the sum of what independent VMs send.

Each request to a server with a limit now needs a permit, which one control VM issues for all entry VMs at the rate of the limit; a request without one goes to another server at once. If all servers are limited, a plain call waits only as long as it can meet its target, and is refused with a time to retry otherwise.

--- a/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/ControlHub.kt
+++ b/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/ControlHub.kt
@@ -9,6 +9,7 @@
 import gentiandale.core.backend.BackendTable
 import gentiandale.core.backend.CrashRecord
 import gentiandale.core.backend.CrashTable
+import gentiandale.core.backend.LimitStatement
 import gentiandale.core.backend.ReadSpeed
 import gentiandale.core.backend.ServiceName
 import gentiandale.core.log.EventLog
@@ -47,6 +48,8 @@
     private val loads = LoadAggregator()
     private val crashes = CrashTable()
     private val suspicions = SuspicionTracker()
+    private val limits = LimitTable()
+    private val permits = PermitIssuer()
     private var areLoadsChanged = false
     private var lastLoadsMs = Long.MIN_VALUE / 2
     private var gossipLoads = emptyList<AssignedLoad>()
@@ -127,7 +130,9 @@
                 if (suspicions.report(message.server, from, now)) sendPause(message.server, SuspicionTracker.PAUSE_MS)
             }
             is FleetMessage.Crashes -> onCrashes(from, message.records, now)
-            is FleetMessage.Notice, is FleetMessage.PeerLoad, is FleetMessage.Pause -> Unit
+            is FleetMessage.Limits -> onLimits(from, message.statements, now)
+            is FleetMessage.PermitRequest -> onPermitRequest(from, message, now)
+            is FleetMessage.Notice, is FleetMessage.PeerLoad, is FleetMessage.Pause, is FleetMessage.Permits -> Unit
         }
     }
 
@@ -150,6 +155,7 @@
     public fun tickLoads() {
         val intervalMs = entries.size * LOAD_INTERVAL_PER_ENTRY_MS
         if (areLoadsChanged && clock.monotonicMs() - lastLoadsMs >= intervalMs) sendLoads(all = false)
+        sendPermits()
     }
 
     /** Tells the entry VMs that the engine [server] accepts no work for [forMs] milliseconds. */
@@ -174,7 +180,8 @@
         message.speeds?.let { entry.speeds = it }
         // An entry VM that sends its speeds gets those of all.
         val speeds = message.speeds?.let { ReadSpeed.combine(entries.values.flatMap(Peer::speeds)) }
-        sender.send(from, notice().copy(speeds = speeds?.ifEmpty { null }))
+        val stated = if (message.speeds == null) null else limits.statements(now).ifEmpty { null }
+        sender.send(from, notice().copy(speeds = speeds?.ifEmpty { null }, limits = stated))
         sendFullTable(from, entry, message.digest, now)
         sendAllCrashes(from, entry, message.crashDigest, now)
     }
@@ -195,6 +202,27 @@
         entries.keys.filter { it != from }.forEach { sender.send(it, message) }
     }
 
+    /** Merges [statements] and passes those that change a limit to the other entry VMs. */
+    private fun onLimits(from: VmId, statements: List<LimitStatement>, now: Long) {
+        val changed = statements.filter { limits.merge(it, now) }
+        if (changed.isEmpty()) return
+        changed.forEach { log.write(FleetLogEvent.LimitChanged(it, from.value)) }
+        val message = FleetMessage.Limits(changed)
+        entries.keys.filter { it != from }.forEach { sender.send(it, message) }
+    }
+
+    private fun onPermitRequest(from: VmId, message: FleetMessage.PermitRequest, now: Long) {
+        onLimits(from, listOf(message.limit), now)
+        permits.request(from, message.limit, message.wanted, now)
+        val isGranted = sendPermits().any { it.vm == from && it.server == message.limit.server }
+        val denial = FleetMessage.Permits(message.limit.server, message.limit.incarnation, 0, PermitIssuer.VALIDITY_MS)
+        if (!isGranted) sender.send(from, denial)
+    }
+
+    private fun sendPermits(): List<IssuedPermits> = permits.issue(clock.monotonicMs()).onEach {
+        sender.send(it.vm, FleetMessage.Permits(it.server, it.incarnation, it.count, PermitIssuer.VALIDITY_MS))
+    }
+
     private fun onGossip(from: VmId, message: FleetMessage.Gossip, now: Long) {
         controlVms.onMessage(from, message.controls, now)
         if (message.loads.isNotEmpty()) {
--- a/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/FleetLogEvent.kt
+++ b/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/FleetLogEvent.kt
@@ -4,6 +4,7 @@
 import gentiandale.core.VmId
 import gentiandale.core.backend.BackendRow
 import gentiandale.core.backend.CrashRecord
+import gentiandale.core.backend.LimitStatement
 import gentiandale.core.log.LogEvent
 import gentiandale.core.log.LogLine
 
@@ -34,6 +35,15 @@
         }
     }
 
+    /** The VM [source] has told that a server has named another request limit than before. */
+    public class LimitChanged(private val statement: LimitStatement, private val source: String) :
+        FleetLogEvent("limit") {
+        override fun describe(line: LogLine) {
+            line.field("server", statement.server.value).field("incarnation_of_server", statement.incarnation.value)
+                .field("limit_per_s", statement.perSecond).field("age_ms", statement.ageMs).field("source", source)
+        }
+    }
+
     /** The configuration [version], fetched from [source], came into force on this VM. */
     public class ConfigurationInForce(
         private val version: Long,
--- a/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/FleetMessage.kt
+++ b/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/FleetMessage.kt
@@ -1,10 +1,12 @@
 package gentiandale.fleet
 
+import gentiandale.core.Incarnation
 import gentiandale.core.ServerId
 import gentiandale.core.VmId
 import gentiandale.core.backend.AssignedLoad
 import gentiandale.core.backend.BackendRow
 import gentiandale.core.backend.CrashRecord
+import gentiandale.core.backend.LimitStatement
 import gentiandale.core.backend.ReadSpeed
 import gentiandale.state.Document
 import kotlinx.serialization.SerialName
@@ -39,6 +41,7 @@
      * @param speeds speeds at which engines read prompts, as observed by these VMs; null if they are not part of this
      *   message.
      * @param crashDigest digest of the crashes of engines that the sender knows; 0 if there are none.
+     * @param limits what servers have said about their request limits; null if that is not part of this message.
      */
     @Serializable
     @SerialName("n")
@@ -48,6 +51,7 @@
         val entries: Int,
         val speeds: List<ReadSpeed>? = null,
         val crashDigest: Long = 0,
+        val limits: List<LimitStatement>? = null,
     ) : FleetMessage
 
     /**
@@ -93,6 +97,30 @@
     @SerialName("c")
     public data class Crashes(val records: List<CrashRecord>) : FleetMessage
 
+    /** What backend servers have said about their request limits, to be merged into the receiver's knowledge. */
+    @Serializable
+    @SerialName("m")
+    public data class Limits(val statements: List<LimitStatement>) : FleetMessage
+
+    /** Requests of the sending entry VM need [wanted] permits for the server of [limit]. */
+    @Serializable
+    @SerialName("w")
+    public data class PermitRequest(val limit: LimitStatement, val wanted: Int) : FleetMessage
+
+    /**
+     * Permits for [count] requests to the [incarnation] of [server]; 0 if there are none at the moment.
+     *
+     * @param validMs time in milliseconds from the receipt after which the permits must not be used.
+     */
+    @Serializable
+    @SerialName("t")
+    public data class Permits(
+        val server: ServerId,
+        val incarnation: Incarnation,
+        val count: Int,
+        val validMs: Long,
+    ) : FleetMessage
+
     /** The engine [server] does not answer the sending entry VM. */
     @Serializable
     @SerialName("u")
--- a/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/FleetSubscriber.kt
+++ b/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/FleetSubscriber.kt
@@ -6,6 +6,7 @@
 import gentiandale.core.backend.AssignedLoad
 import gentiandale.core.backend.BackendRow
 import gentiandale.core.backend.CrashRecord
+import gentiandale.core.backend.LimitStatement
 import gentiandale.core.backend.ReadSpeed
 import gentiandale.core.log.EventLog
 import gentiandale.state.Document
@@ -50,6 +51,12 @@
 
     /** Merges what other VMs know about crashes of engines. */
     public fun mergeCrashes(records: List<CrashRecord>)
+
+    /** Merges what servers have said to other VMs about their request limits. */
+    public fun mergeLimits(statements: List<LimitStatement>)
+
+    /** Adds permits for requests to a server. */
+    public fun grantPermits(permits: FleetMessage.Permits)
 }
 
 /**
@@ -147,6 +154,18 @@
         controlVms.all.forEach { sender.send(it, message) }
     }
 
+    /** Passes [statement], which a server has made to this VM, to every known control VM. */
+    public fun reportLimit(statement: LimitStatement) {
+        val message = FleetMessage.Limits(listOf(statement))
+        controlVms.all.forEach { sender.send(it, message) }
+    }
+
+    /** Asks for [wanted] permits for the server of [limit]. All entry VMs use the same control VM if they reach it. */
+    public fun requestPermits(limit: LimitStatement, wanted: Int) {
+        val issuer = controlVms.reachable(clock.monotonicMs()).minOrNull() ?: return
+        sender.send(issuer, FleetMessage.PermitRequest(limit, wanted))
+    }
+
     /** Handles [message] from the control VM [from]. */
     public fun receive(from: VmId, message: FleetMessage) {
         val now = clock.monotonicMs()
@@ -156,9 +175,11 @@
             is FleetMessage.Servers -> onServers(from, message.rows, now)
             is FleetMessage.PeerLoad -> if (from == reportedTo) onPeerLoad(message)
             is FleetMessage.Crashes -> state.mergeCrashes(message.records)
+            is FleetMessage.Limits -> state.mergeLimits(message.statements)
+            is FleetMessage.Permits -> state.grantPermits(message)
             is FleetMessage.Pause -> state.pause(message.server, message.forMs)
             is FleetMessage.Subscribe, is FleetMessage.Gossip, is FleetMessage.Fetch, is FleetMessage.LocalLoad -> Unit
-            is FleetMessage.Suspect -> Unit
+            is FleetMessage.Suspect, is FleetMessage.PermitRequest -> Unit
         }
     }
 
@@ -172,6 +193,7 @@
         controlVms.onMessage(from, notice.controls, now)
         state.setEntryCount(entryCount.onStated(from, notice.entries, now))
         notice.speeds?.let(state::updateReadSpeeds)
+        notice.limits?.let(state::mergeLimits)
         // The control VM sends what it knows when the digest of the next subscription differs, too.
         val digest = state.crashDigest
         if (notice.crashDigest != digest && digest != 0L && now - lastCrashesMs > CRASHES_INTERVAL_MS) {
--- a/gentiandale-fleet/src/test/kotlin/gentiandale/fleet/VirtualFleet.kt
+++ b/gentiandale-fleet/src/test/kotlin/gentiandale/fleet/VirtualFleet.kt
@@ -14,6 +14,7 @@
 import gentiandale.core.backend.CrashId
 import gentiandale.core.backend.CrashRecord
 import gentiandale.core.backend.CrashTable
+import gentiandale.core.backend.LimitStatement
 import gentiandale.core.backend.PromptPart
 import gentiandale.core.backend.QuarantineVerdict
 import gentiandale.core.backend.ReadSpeed
@@ -76,6 +77,18 @@
         /** Returns whether this VM keeps requests with [parts] away from engines. */
         fun refuses(parts: List<PromptPart>) = crashes.verdict(parts, now()) is QuarantineVerdict.Refuse
 
+        /** Limits of servers that this VM knows, and the permits that it has got. */
+        val limits = HashMap<ServerId, Double?>()
+        var permits = 0
+
+        override fun mergeLimits(statements: List<LimitStatement>) {
+            statements.forEach { limits[it.server] = it.perSecond }
+        }
+
+        override fun grantPermits(permits: FleetMessage.Permits) {
+            this.permits += permits.count
+        }
+
         override fun pause(server: ServerId, forMs: Long) = Unit
     }
 
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/Relay.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/Relay.kt
@@ -2,11 +2,13 @@
 
 import gentiandale.core.Clock
 import gentiandale.core.DataCentreId
+import gentiandale.core.Incarnation
 import gentiandale.core.ServerId
 import gentiandale.core.ServerKind
 import gentiandale.core.backend.AssignedLoad
 import gentiandale.core.backend.BackendRow
 import gentiandale.core.backend.CrashRecord
+import gentiandale.core.backend.LimitStatement
 import gentiandale.core.backend.ReadSpeed
 import gentiandale.core.backend.ServiceName
 import gentiandale.core.log.EventLog
@@ -99,6 +101,7 @@
         set(value) {
             field = value.coerceAtLeast(1)
             budgets.values.forEach { it.vmCount = field }
+            registry.entryVms = field
         }
 
     /** Digest of the known backend rows, used to compare them with other VMs. */
@@ -111,6 +114,7 @@
     public val readyServers: Int get() = registry.readyCount
 
     init {
+        registry.entryVms = entryVms
         registry.onReplaced = upstreams::closePool
     }
 
@@ -161,6 +165,24 @@
         context.queue.endQuarantined()
     }
 
+    /** Merges what other VMs know about the request limits of servers. */
+    public fun mergeLimits(statements: List<LimitStatement>) {
+        val now = clock.monotonicMs()
+        statements.forEach { statement ->
+            val server = registry[statement.server]?.takeIf { it.row.incarnation == statement.incarnation }
+            val isChanged = server?.limit?.state(statement.perSecond, now - statement.ageMs) ?: false
+            if (server != null && isChanged) log.write(RelayEvent.LimitLearned(server.row, statement))
+        }
+        context.onPermits()
+    }
+
+    /** Adds [count] permits, valid for [validMs] milliseconds, for requests to the [incarnation] of [id]. */
+    public fun grantPermits(id: ServerId, incarnation: Incarnation, count: Int, validMs: Long) {
+        val server = registry[id]?.takeIf { it.row.incarnation == incarnation } ?: return
+        server.limit.grant(count, validMs, clock.monotonicMs())
+        if (count > 0) context.onPermits()
+    }
+
     private fun scheduleLoadReport() {
         if (isReportScheduled) return
         isReportScheduled = true
@@ -185,6 +207,10 @@
             context.queue.endQuarantined()
         }
 
+        override fun onLimitStated(statement: LimitStatement) = listener.onLimitStated(statement)
+
+        override fun onPermitsMissing(limit: LimitStatement, wanted: Int) = listener.onPermitsMissing(limit, wanted)
+
         override fun confirmLoad(done: () -> Unit) {
             var isDone = false
             val doneOnce = {
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/RelayEvent.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/RelayEvent.kt
@@ -4,6 +4,7 @@
 import gentiandale.core.backend.AssignedLoad
 import gentiandale.core.backend.BackendRow
 import gentiandale.core.backend.CrashRecord
+import gentiandale.core.backend.LimitStatement
 import gentiandale.core.backend.PromptPart
 import gentiandale.core.log.LogEvent
 import gentiandale.core.log.LogLine
@@ -35,6 +36,7 @@
      * @param passedOver servers excluded because an earlier send of this request to them failed.
      * @param localLoad load of this VM at the server when it was chosen.
      * @param peerLoad load of the other VMs at the server, as last reported.
+     * @param limit limit of the server in requests a second for all VMs together, or null if it has named none.
      */
     public class Placed(
         private val request: String?,
@@ -46,13 +48,14 @@
         private val attempt: Int,
         private val passedOver: String?,
         private val leftMs: Long,
+        private val limit: Double? = null,
     ) : RelayEvent("placed") {
         override fun describe(line: LogLine) {
             line.field("request", request).field("route", route).field("version", version).field("step", operation)
                 .field("server", localLoad.id.value).field("attempt", attempt).field("running", localLoad.running)
                 .field("others_running", peerLoad.running)
                 .field("memory_tokens", localLoad.memoryTokens).field("others_memory_tokens", peerLoad.memoryTokens)
-                .field("passed_over", passedOver).field("left_ms", leftMs)
+                .field("passed_over", passedOver).field("left_ms", leftMs).field("limit_per_s", limit)
         }
     }
 
@@ -98,15 +101,29 @@
      * A server said something else than before about the requests that it takes from all VMs together.
      *
      * @param stated requests a second, as written in the answer, or null if the answer named no limit.
+     * @param perSecond limit in force from now on in requests a second, or null if there is none.
      */
     public class LimitStated(
         private val request: String?,
         private val server: BackendRow,
         private val stated: String?,
+        private val perSecond: Double?,
     ) : RelayEvent("limit-stated") {
         override fun describe(line: LogLine) {
             line.field("request", request).field("server", server.id.value)
-                .field("incarnation_of_server", server.incarnation.value).field("limit_per_s", stated)
+                .field("incarnation_of_server", server.incarnation.value).field("stated", stated)
+                .field("limit_per_s", perSecond)
+        }
+    }
+
+    /** Another VM has heard from a server the [statement] about its request limit. */
+    public class LimitLearned(
+        private val server: BackendRow,
+        private val statement: LimitStatement,
+    ) : RelayEvent("limit-learned") {
+        override fun describe(line: LogLine) {
+            line.field("server", server.id.value).field("incarnation_of_server", server.incarnation.value)
+                .field("limit_per_s", statement.perSecond).field("age_ms", statement.ageMs)
         }
     }
 
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/RelayListener.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/RelayListener.kt
@@ -3,6 +3,7 @@
 import gentiandale.core.ServerId
 import gentiandale.core.backend.BackendRow
 import gentiandale.core.backend.CrashRecord
+import gentiandale.core.backend.LimitStatement
 
 /** Receives events of a relay that concern the other VMs. Called on the event loop. */
 public interface RelayListener {
@@ -18,6 +19,12 @@
     /** Called with the records of engine crashes of which this VM has learned something new. */
     public fun onCrashEvidence(records: List<CrashRecord>)
 
+    /** Called when a server has said something new about its request limit, and from time to time while it holds. */
+    public fun onLimitStated(statement: LimitStatement)
+
+    /** Called when requests of this VM need [wanted] permits for the server of [limit]. */
+    public fun onPermitsMissing(limit: LimitStatement, wanted: Int)
+
     /** Reports the load at once, and calls [done] when the load placed earlier by other VMs is known, or soon after. */
     public fun confirmLoad(done: () -> Unit)
 
@@ -33,6 +40,10 @@
 
             override fun onCrashEvidence(records: List<CrashRecord>) = Unit
 
+            override fun onLimitStated(statement: LimitStatement) = Unit
+
+            override fun onPermitsMissing(limit: LimitStatement, wanted: Int) = Unit
+
             override fun confirmLoad(done: () -> Unit) = done()
         }
     }
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/backend/Backend.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/backend/Backend.kt
@@ -99,6 +99,12 @@
     /** What the last answer said about the requests that the server takes from all VMs together, or null. */
     internal var statedLimit: String? = null
 
+    /** Monotonic time in milliseconds at which this VM last reported the limit to the other VMs. */
+    internal var limitReportedMs: Long = Long.MIN_VALUE / 2
+
+    /** Requests that this VM may send to the server if it has named a limit. */
+    public val limit: RequestLimit = RequestLimit()
+
     /** Whether the server accepts new work. */
     public val isReady: Boolean get() = row.acceptsWork
 
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/backend/BackendRegistry.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/backend/BackendRegistry.kt
@@ -14,6 +14,9 @@
     /** Speeds at which engines read prompts. */
     public val speeds: ReadSpeeds = ReadSpeeds()
 
+    /** Number of entry VMs that share the limits of servers. */
+    public var entryVms: Int = 1
+
     /** Called with a server that has restarted or moved, so that its connections can be closed. */
     public var onReplaced: (Backend) -> Unit = {}
 
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/GenerationRequestHandler.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/GenerationRequestHandler.kt
@@ -67,8 +67,13 @@
         val gapMs = route.maxGapMs.takeIf { it > 0 } ?: DEFAULT_GAP_MS
         when (val plan = context.generationPlacement.plan(candidates, excluded, need, engineRule, now, gapMs)) {
             is GenerationPlan.NoCapacity -> return false
-            is GenerationPlan.NoServer -> refuseOrFail("no decode server available")
+            is GenerationPlan.NoServer -> {
+                if (context.lacksPermits(routed.service)) return false
+                refuseOrFail("no decode server available")
+            }
             is GenerationPlan.Placement -> {
+                permits.take(plan.decode)
+                plan.prefill?.let(permits::take)
                 reservation.reserve(plan.decode)
                 promptReservation.reserve(plan.prefill ?: plan.decode)
                 logReserved(plan, now)
@@ -89,6 +94,7 @@
                     RelayEvent.ReservationConflict(routed.id, plan.decode.load, plan.prefill?.load, conflicts),
                 )
                 reservation.release()
+                permits.release()
                 dispatch()
             }
             plan.prefill == null -> startGeneration(plan.decode)
@@ -161,6 +167,7 @@
         gapTimer?.cancel(false)
         currentSend = null
         reservation.release()
+        permits.release()
         if (stream.hasBegun) queued = QueuedGeneration.ofBrokenStream(context.nowMs(), route.targetMs)
         dispatch()
     }
@@ -227,7 +234,10 @@
     /** Starts at [preferred] or another server with capacity at once, since the KV cache expires within a moment. */
     private fun startWithCache(preferred: Backend?) {
         val server = preferred ?: chooseDecode(tried) ?: return refuseOrFail("no decode server available")
-        if (server !== reservation.server) reservation.reserve(server)
+        if (server !== reservation.server) {
+            reservation.reserve(server)
+            permits.take(server)
+        }
         startGeneration(server)
     }
 
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/KvCache.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/KvCache.kt
@@ -15,11 +15,11 @@
     /** Frees the cache, which will not be used; if the call fails, the cache expires on its own. */
     fun release(context: RelayContext) {
         val startMs = context.nowMs()
-        if (server.isResting(startMs)) return
+        if (server.isResting(startMs) || !server.limit.take(startMs)) return
         val listener = object : AnswerListener {
             override fun onConnected(): FullHttpRequest = context.dialect.releaseCache(handle)
 
-            override fun onHead(head: HttpResponse) = context.readNotices(server, request, head)
+            override fun onHead(head: HttpResponse) = context.readNotices(server, request, head, startMs)
 
             override fun onContent(content: ByteBuf) = Unit
 
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/PlainRequestHandler.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/PlainRequestHandler.kt
@@ -3,6 +3,7 @@
 import gentiandale.core.ServerId
 import gentiandale.core.ServerKind
 import gentiandale.relay.backend.Backend
+import gentiandale.relay.placement.PermitWaitPolicy
 import gentiandale.relay.placement.RejectionStep
 import gentiandale.relay.routing.Repetition
 import gentiandale.relay.upstream.SendFailure
@@ -14,24 +15,30 @@
 import java.util.concurrent.TimeUnit
 
 /** Handles a request whose answer is not an event stream. */
-internal class PlainRequestHandler(routed: RoutedRequest, context: RelayContext) : RequestHandler(routed, context) {
+internal class PlainRequestHandler(routed: RoutedRequest, context: RelayContext) :
+    RequestHandler(routed, context),
+    PermitQueue.Entry {
     private var hasBegunAnswer = false
     private var unsentCount = 0
     private var rejections = 0
     private var waitTimer: ScheduledFuture<*>? = null
+    private var permitTimer: ScheduledFuture<*>? = null
     private var currentSend: Send? = null
     private val sentTo = HashSet<ServerId>()
     private val fullServers = HashSet<ServerId>()
 
     override fun hasBegun(): Boolean = hasBegunAnswer
 
+    override val urgency: Int get() = route.urgency
+
     override fun releaseResources() {
         if (waitTimer?.cancel(false) == true) context.waitingCalls--
+        stopWaitingForPermit()
     }
 
     override fun dispatch() {
-        val server = context.plainPlacement.choose(allowedServers(), tried, context.nowMs())
-            ?: return if (tried.isEmpty()) refuse("no server", noServerRetryMs()) else refuseOrFail("no other server")
+        val server = context.plainPlacement.choose(allowedServers(), tried, context.nowMs()) ?: return onNoServer()
+        permits.take(server)
         if (!takeRetryBudget()) return refuseOrFail("retry budget of ${routed.service.value} exhausted")
         val isOnce = route.repetition == Repetition.AT_MOST_ONCE
         val send = send(server, "run", if (isOnce) MAX_IDLE_MS else Long.MAX_VALUE, Attempt(server))
@@ -39,6 +46,48 @@
         currentSend = send
     }
 
+    private fun onNoServer() {
+        if (context.lacksPermits(routed.service)) return waitForPermit()
+        if (tried.isEmpty()) refuse("no server", noServerRetryMs()) else refuseOrFail("no other server")
+    }
+
+    private fun waitForPermit() {
+        val reason = "request limits of ${routed.service.value} used up"
+        val servers = context.registry.ready(routed.service, context.nowMs())
+        val waitMs = PermitWaitPolicy.waitMs(
+            elapsedMs = context.nowMs() - routed.request.startMs,
+            targetMs = minOf(route.targetMs, routed.deadlineMs - routed.request.startMs),
+            serviceMs = servers.minOfOrNull { it.latencyMs } ?: 0.0,
+            waiting = context.permitQueue.size,
+        ) ?: return refuseOrFail(reason)
+        context.permitQueue.add(this)
+        awaitPermitUntil(context.nowMs() + waitMs, reason)
+    }
+
+    /** Asks for permits again at intervals, and ends the request because of [reason] at [endMs]. */
+    private fun awaitPermitUntil(endMs: Long, reason: String) {
+        val leftMs = endMs - context.nowMs()
+        if (leftMs <= 0) {
+            stopWaitingForPermit()
+            return refuseOrFail(reason)
+        }
+        permitTimer = context.loop.schedule({
+            onPermits()
+            if (this in context.permitQueue) awaitPermitUntil(endMs, reason)
+        }, minOf(leftMs, PERMIT_RECHECK_MS), TimeUnit.MILLISECONDS)
+    }
+
+    private fun stopWaitingForPermit() {
+        permitTimer?.cancel(false)
+        context.permitQueue.remove(this)
+    }
+
+    override fun onPermits() {
+        if (allowedServers().none { it.row.id !in tried }) return
+        stopWaitingForPermit()
+        dispatch()
+    }
+
     /** Returns the servers that the request may be sent to: if its route allows no more, those that it was sent to. */
     private fun allowedServers(): List<Backend> = context.candidates(routed.service).filter {
         it.row.kind != ServerKind.PREFILL && (sentTo.size < route.maxAttempts || it.row.id in sentTo)
@@ -89,7 +138,8 @@
     private fun noServerRetryMs() = context.restLeftMs(routed.service) ?: NO_SERVER_RETRY_MS
 
     private fun refuseOrFail(reason: String) {
-        val retryMs = context.restLeftMs(routed.service) ?: FULL_RETRY_MS
+        val retryMs = context.restLeftMs(routed.service)
+            ?: if (context.lacksPermits(routed.service)) LIMITED_RETRY_MS else FULL_RETRY_MS
         if (runState == RunState.NOT_RUN) refuse(reason, retryMs) else fail(reason)
     }
 
@@ -227,5 +277,11 @@
 
         /** A full server usually accepts requests again within this time. */
         const val FULL_RETRY_MS = 100L
+
+        /** Shorter than the time after which a control VM forgets that this VM needs permits. */
+        const val PERMIT_RECHECK_MS = 100L
+
+        /** By then another VM or this one has got new permits; a longer time would often exceed what callers wait. */
+        const val LIMITED_RETRY_MS = 200L
     }
 }
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/RelayContext.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/RelayContext.kt
@@ -1,6 +1,7 @@
 package gentiandale.relay.request
 
 import gentiandale.core.Clock
+import gentiandale.core.backend.LimitStatement
 import gentiandale.core.backend.ServiceName
 import gentiandale.core.log.EventLog
 import gentiandale.relay.RelayEvent
@@ -10,6 +11,7 @@
 import gentiandale.relay.backend.BackendRegistry
 import gentiandale.relay.placement.AnswerLengthEstimator
 import gentiandale.relay.placement.GenerationPlacement
+import gentiandale.relay.placement.LimitPolicy
 import gentiandale.relay.placement.PlainPlacement
 import gentiandale.relay.placement.RejectionPolicy
 import gentiandale.relay.placement.RestPolicy
@@ -59,21 +61,46 @@
     /** Returns the retry budget of [service]. */
     fun budgetOf(service: ServiceName): RetryBudget = policies.budgetOf(service)
 
-    /** Returns the servers of [service] that accept work. */
-    fun candidates(service: ServiceName): List<Backend> = registry.ready(service, nowMs())
+    /** Plain calls of this VM that wait for a permit. */
+    val permitQueue = PermitQueue()
+
+    /** Returns the servers of [service] that accept work, and asks for permits for those whose limit is used up. */
+    fun candidates(service: ServiceName): List<Backend> = registry.ready(service, nowMs()).filter {
+        val admits = it.limit.admits(nowMs())
+        if (!admits) requestPermits(it)
+        admits
+    }
+
+    /** Returns whether a server of [service] would accept work if this VM had a permit for it. */
+    fun lacksPermits(service: ServiceName): Boolean =
+        registry.ready(service, nowMs()).any { !it.limit.admits(nowMs()) }
+
+    /** Lets requests continue that wait for permits or for the end of a limit. */
+    fun onPermits() {
+        permitQueue.onPermits()
+        queue.admit()
+    }
+
+    private fun requestPermits(server: Backend) {
+        val wanted = server.limit.onMissing(nowMs(), registry.entryVms)
+        if (wanted > 0) listener.onPermitsMissing(statementOf(server), wanted)
+    }
+
+    private fun statementOf(server: Backend) =
+        LimitStatement(server.row.id, server.row.incarnation, server.limit.perSecond(nowMs()))
 
     /** Returns the milliseconds until a server of [service] accepts work again if all rest now, or null. */
     fun restLeftMs(service: ServiceName): Long? = registry.restLeftMs(service, nowMs())
 
-    /** Reads what the [head] of an answer to [request] says about [server] itself. */
-    fun readNotices(server: Backend, request: String?, head: HttpResponse) {
+    /** Reads what the [head] of an answer to [request], sent at [sentMs], says about [server] itself. */
+    fun readNotices(server: Backend, request: String?, head: HttpResponse, sentMs: Long) {
         if (dialect.isLeaving(head.headers()) && !server.row.departing) {
             val row = server.row.copy(departing = true)
             registry.merge(row)
             listener.onDeparting(row)
             noteServer(request, server, "leaving", null)
         }
-        readLimit(server, request, head)
+        readLimit(server, request, head, sentMs)
         val retryAfter = head.headers().get(HttpHeaderNames.RETRY_AFTER)
         val date = head.headers().get(HttpHeaderNames.DATE)
         val restMs = RestPolicy.restMs(head.status().code(), retryAfter, date, clock.wallMs()) ?: return
@@ -81,12 +108,22 @@
         noteServer(request, server, "rest", restMs)
     }
 
-    private fun readLimit(server: Backend, request: String?, head: HttpResponse) {
-        val stated = dialect.requestLimit(head.headers())?.take(MAX_LIMIT_LENGTH)
-        if (stated == server.statedLimit) return
-        server.statedLimit = stated
-        log.write(RelayEvent.LimitStated(request, server.row, stated))
-        stats.onServerNotice("limit")
+    private fun readLimit(server: Backend, request: String?, head: HttpResponse, sentMs: Long) {
+        // Another server, which has got the address, speaks of its own limit.
+        if (head.status().code() == MISDIRECTED) return
+        val now = nowMs()
+        val text = dialect.requestLimit(head.headers())?.take(MAX_LIMIT_LENGTH)
+        val isChanged = server.limit.onAnswer(LimitPolicy.read(text), sentMs, now)
+        if (text != server.statedLimit) {
+            server.statedLimit = text
+            log.write(RelayEvent.LimitStated(request, server.row, text, server.limit.perSecond(now)))
+            stats.onServerNotice("limit")
+        }
+        val isRefreshDue =
+            server.limit.perSecond(now) != null && now - server.limitReportedMs > LIMIT_REPORT_INTERVAL_MS
+        if (!isChanged && !isRefreshDue) return
+        server.limitReportedMs = now
+        listener.onLimitStated(statementOf(server))
     }
 
     private fun noteServer(request: String?, server: Backend, kind: String, restMs: Long?) {
@@ -95,6 +132,11 @@
     }
 
     private companion object {
+        const val MISDIRECTED = 421
+
+        /** A limit that still holds is reported again after this time, since the statement expires without that. */
+        const val LIMIT_REPORT_INTERVAL_MS = 5_000L
+
         /** Longer than any number that makes sense as a limit. */
         const val MAX_LIMIT_LENGTH = 32
     }
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/RequestHandler.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/RequestHandler.kt
@@ -48,6 +48,7 @@
     private var sends = 0
     private var deadlineTimer: ScheduledFuture<*>? = null
     private val running = ArrayList<Send>(2)
+    protected val permits = PermitHold(context.nowMs)
 
     /** Chooses a server and sends the request, or ends it. */
     protected abstract fun dispatch()
@@ -126,6 +127,7 @@
         isOver = true
         deadlineTimer?.cancel(false)
         running.toList().forEach { it.cancel() }
+        permits.release()
         releaseResources()
         routed.request.body.release()
         val elapsedMs = context.nowMs() - routed.request.startMs
@@ -203,6 +205,7 @@
                 attempts,
                 passedOver,
                 leftMs(),
+                server.limit.perSecond(context.nowMs()),
             ),
         )
         server.running++
@@ -261,18 +264,27 @@
                 onFailure(SendFailure.NotSent("server no longer accepts work or the deadline has passed"))
                 return null
             }
+            if (!permits.use(server)) return onNoPermit()
             sentMs = context.nowMs()
             if (server.unansweredSinceMs == null) server.unansweredSinceMs = sentMs
             return handler.request()
         }
 
+        /** Ends the send without charging the server, whose limit other requests of this VM have used up. */
+        private fun onNoPermit(): FullHttpRequest? {
+            done()
+            logFailure(NO_PERMIT)
+            handler.onFailure(SendFailure.NotSent(NO_PERMIT))
+            return null
+        }
+
         override fun onHead(head: HttpResponse) {
             if (isDone) return
             timer?.cancel(false)
             sentMs?.let { server.onAnswer(context.nowMs() - it) }
             if (!context.dialect.isNotExecuted(head.status().code(), head.headers())) server.onAccepted()
             server.unansweredSinceMs = null
-            context.readNotices(server, routed.id, head)
+            context.readNotices(server, routed.id, head, sentMs ?: context.nowMs())
             handler.onHead(head)
             val timeoutMs = handler.bodyTimeoutMs ?: return
             ifUnanswered(timeoutMs) { giveUp("answer incomplete $timeoutMs ms after its head") }
@@ -339,6 +351,7 @@
         const val BAD_GATEWAY = 502
         const val GATEWAY_TIMEOUT = 504
         const val MS_PER_S = 1_000.0
+        const val NO_PERMIT = "no permit left under the request limit of the server"
 
         /** Statuses by which a caller may conclude that the request has not run. */
         val NOT_RUN_STATUSES = setOf(408, 421, 429, 503)
--- a/gentiandale-relay/src/test/kotlin/gentiandale/relay/RelayFixture.kt
+++ b/gentiandale-relay/src/test/kotlin/gentiandale/relay/RelayFixture.kt
@@ -7,6 +7,7 @@
 import gentiandale.core.backend.AssignedLoad
 import gentiandale.core.backend.BackendRow
 import gentiandale.core.backend.CrashRecord
+import gentiandale.core.backend.LimitStatement
 import gentiandale.core.log.EventLog
 import gentiandale.relay.caller.HttpServer
 import gentiandale.relay.routing.EngineRule
@@ -82,6 +83,25 @@
     /** Crash records that the relay has reported for the other VMs. */
     val crashEvidence = CopyOnWriteArrayList<CrashRecord>()
 
+    /** What servers have said about their limits, as reported for the other VMs. */
+    val limits = CopyOnWriteArrayList<LimitStatement>()
+
+    /** Numbers of permits that the relay has asked for; they are issued at the rate of the limit. */
+    val permitRequests = CopyOnWriteArrayList<Int>()
+    private val lastPermitMs = HashMap<ServerId, Long>()
+
+    /** Whether permits are issued, and whether the relay gets a reply at all. */
+    @Volatile
+    var issuesPermits = true
+
+    @Volatile
+    var isIssuerReachable = true
+
+    /** Merges [statements], as from a control VM. */
+    fun mergeLimits(statements: List<LimitStatement>) {
+        transport.loop.submit { relay.mergeLimits(statements) }.get()
+    }
+
     /** Merges [records], as from a control VM. */
     fun mergeCrashes(records: List<CrashRecord>) {
         transport.loop.submit { relay.mergeCrashes(records) }.get()
@@ -100,6 +120,21 @@
             crashEvidence += records
         }
 
+        override fun onLimitStated(statement: LimitStatement) {
+            limits += statement
+        }
+
+        override fun onPermitsMissing(limit: LimitStatement, wanted: Int) {
+            permitRequests += wanted
+            val rate = limit.perSecond ?: return
+            val now = SystemClock.monotonicMs()
+            val due = now - (lastPermitMs[limit.server] ?: 0) >= 1_000 / rate
+            if (due) lastPermitMs[limit.server] = now
+            val count = if (due && issuesPermits) 1 else 0
+            if (!isIssuerReachable) return
+            transport.loop.execute { relay.grantPermits(limit.server, limit.incarnation, count, PERMIT_VALIDITY_MS) }
+        }
+
         override fun confirmLoad(done: () -> Unit) {
             onConfirm()
             onConfirm = {}
@@ -155,5 +190,6 @@
 
     private companion object {
         const val SOCKET_TIMEOUT_MS = 10_000
+        const val PERMIT_VALIDITY_MS = 400L
     }
 }
--- a/gentiandale-relay/src/test/kotlin/gentiandale/relay/RequestLimitTest.kt
+++ b/gentiandale-relay/src/test/kotlin/gentiandale/relay/RequestLimitTest.kt
@@ -1,7 +1,12 @@
 package gentiandale.relay
 
+import gentiandale.core.Incarnation
+import gentiandale.core.ServerId
+import gentiandale.core.ServerKind
+import gentiandale.core.backend.LimitStatement
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Nested
+import kotlin.concurrent.thread
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
@@ -40,7 +45,129 @@
         }
     }
 
+    @Nested
+    inner class AllServers {
+        @Test
+        fun `calls beyond the limits are refused soon, with a time to retry, and the others are served`() {
+            val servers = listOf("a", "b").map { limited(it, "$LIMIT") }
+            relay.get("/safe/first")
+            relay.get("/safe/second")
+            val answers = sendFor(RUN_MS)
+            val (served, refused) = answers.partition { it.startsWith("HTTP/1.1 200") }
+            assertTrue(refused.all { it.startsWith("HTTP/1.1 503") && "retry-after" in it.lowercase() })
+            assertTrue(servers.all { it.requests.size <= ALLOWED }, "${servers.map { it.requests.size }}")
+            assertTrue(served.size >= LIMIT * RUN_MS / 1_000, "${served.size} of ${answers.size} served")
+        }
+
+        @Test
+        fun `a call waits for a permit as long as it can still meet its target`() {
+            limited("a", "$LIMIT")
+            relay.get("/safe/first")
+            relay.issuesPermits = false
+            thread {
+                Thread.sleep(PERMIT_DELAY_MS)
+                relay.issuesPermits = true
+            }
+            assertTrue(relay.get("/safe/1").startsWith("HTTP/1.1 200"))
+        }
+    }
+
+    @Nested
+    inner class Unreachable {
+        @Test
+        fun `a VM without a reply of a control VM keeps to its own share of the limit`() {
+            val limited = limited("a", "$LIMIT")
+            relay.get("/safe/first")
+            relay.isIssuerReachable = false
+            val answers = sendFor(RUN_MS)
+            val served = answers.count { it.startsWith("HTTP/1.1 200") }
+            assertTrue(served >= LIMIT, "$served served")
+            assertTrue(limited.requests.size <= ALLOWED, "${limited.requests.size} requests")
+        }
+    }
+
+    @Nested
+    inner class End {
+        @Volatile
+        private var named = "limit: 1\r\n"
+
+        private fun start() = relay.server("a") { request, socket ->
+            FakeServer.reply(socket, request, "a", extra = named)
+        }
+
+        @Test
+        fun `an answer that names no limit ends it, and the other VMs are told`() {
+            start()
+            relay.get("/safe/first")
+            named = ""
+            val endNanos = System.nanoTime() + RUN_MS * NANOS_PER_MS
+            while (!relay.get("/safe/1").startsWith("HTTP/1.1 200") && System.nanoTime() < endNanos) Thread.sleep(50)
+            repeat(20) { assertTrue(relay.get("/safe/$it").startsWith("HTTP/1.1 200")) }
+            assertEquals(listOf(1.0, null), relay.limits.map { it.perSecond })
+        }
+
+        @Test
+        fun `a new process of the server has no limit`() {
+            val server = start()
+            relay.get("/safe/first")
+            relay.issuesPermits = false
+            assertTrue(relay.get("/safe/1").startsWith("HTTP/1.1 503"))
+            named = ""
+            relay.merge(rowOf("a", port = server.port).copy(incarnation = Incarnation(2)))
+            repeat(10) { assertTrue(relay.get("/safe/$it").startsWith("HTTP/1.1 200")) }
+        }
+
+        @Test
+        fun `a value that is no number changes nothing`() {
+            named = "limit: many\r\n"
+            start()
+            repeat(10) { assertTrue(relay.get("/safe/$it").startsWith("HTTP/1.1 200")) }
+            assertEquals(emptyList(), relay.limits.map { it.perSecond })
+        }
+    }
+
+    @Nested
+    inner class HeardFromOthers {
+        @Test
+        fun `a limit that another VM has read holds before the first request`() {
+            val server = relay.server("a") { request, socket -> FakeServer.reply(socket, request, "a") }
+            relay.issuesPermits = false
+            relay.mergeLimits(listOf(LimitStatement(ServerId("a"), Incarnation(1), perSecond = 2.0)))
+            repeat(5) { assertTrue(relay.get("/safe/$it").startsWith("HTTP/1.1 503")) }
+            assertEquals(0, server.requests.size)
+        }
+    }
+
+    @Nested
+    inner class Generations {
+        @Test
+        fun `prefills and streams keep to the limits of their servers`() {
+            val prefill = relay.server("p", ServerKind.PREFILL) { request, socket ->
+                FakeServer.reply(socket, request, "h1", extra = "limit: $LIMIT\r\n")
+            }
+            val decode = relay.server("d", ServerKind.DECODE) { request, socket ->
+                FakeServer.begin(socket, request, "limit: $LIMIT\r\n")
+                FakeServer.chunk(socket, FakeServer.event(1))
+                socket.getOutputStream().write("0\r\n\r\n".toByteArray())
+                true
+            }
+            val endNanos = System.nanoTime() + RUN_MS * NANOS_PER_MS
+            var served = 0
+            val callers = (1..80).map { number ->
+                Thread.sleep(INTERVAL_MS)
+                thread { if (relay.get("/stream/$number").startsWith("HTTP/1.1 200")) served++ }
+            }
+            Thread.sleep(((endNanos - System.nanoTime()) / NANOS_PER_MS).coerceAtLeast(0))
+            listOf(prefill, decode).forEach {
+                assertTrue(it.requests.size <= ALLOWED, "${it.requests.size} requests")
+            }
+            callers.forEach { it.join() }
+            assertTrue(served >= LIMIT, "$served served")
+        }
+    }
+
     private companion object {
+        const val PERMIT_DELAY_MS = 150L
         const val LIMIT = 4
         const val RUN_MS = 4_000L
         const val INTERVAL_MS = 25L
