Log crashes of any server, with a fingerprint of the request that was there

`server-crashed` is now logged when a server of any kind refuses connections after it has broken the one of a request without an answer, with a digest of method, host, target and body. It is bounded by one line a request, and only where a server breaks a connection. Nothing is decided by it; prefills and plain calls are checked like generations, which costs one connection attempt.

--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/RelayEvent.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/RelayEvent.kt
@@ -127,6 +127,23 @@
         }
     }
 
+    /**
+     * A server refuses connections after it has broken the one of a request of this VM without an answer.
+     *
+     * @param fingerprint digest that is the same for requests that are the same word for word.
+     */
+    public class ServerCrashed(
+        private val request: String?,
+        private val fingerprint: String,
+        private val server: BackendRow,
+    ) : RelayEvent("server-crashed") {
+        override fun describe(line: LogLine) {
+            line.field("request", request).field("fingerprint", fingerprint).field("server", server.id.value)
+                .field("incarnation_of_server", server.incarnation.value).field("service", server.service.value)
+                .field("kind", server.kind.name.lowercase())
+        }
+    }
+
     /**
      * The suspects of a crash of an engine have changed.
      *
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/GenerationRequestHandler.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/GenerationRequestHandler.kt
@@ -226,7 +226,8 @@
         restart()
     }
 
-    override fun onPrefillFailed(server: Backend) {
+    override fun onPrefillFailed(server: Backend, failure: SendFailure) {
+        if (failure is SendFailure.Broken) checkForCrash(server)
         tried += server.row.id
         restart()
     }
@@ -305,7 +306,7 @@
     override fun onCallFailed(generation: GenerationCall, failure: SendFailure) {
         tried += generation.server.row.id
         if (failure is SendFailure.Broken && !generation.isEstablished) {
-            context.quarantine.onBroken(routed.id, generation.server, parts)
+            checkForCrash(generation.server, parts)
         }
         when {
             failure is SendFailure.NotSent && generation.source != null -> {
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/PlainRequestHandler.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/PlainRequestHandler.kt
@@ -188,6 +188,7 @@
         override fun onFailure(failure: SendFailure) {
             body.release()
             if (hasBegunAnswer) return fail(failure.reason)
+            if (failure is SendFailure.Broken) checkForCrash(server)
             tried += server.row.id
             if (failure is SendFailure.NotSent) {
                 unsentCount++
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/PrefillCall.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/PrefillCall.kt
@@ -29,7 +29,7 @@
         fun onNoCache(server: Backend, status: Int, isRejected: Boolean)
 
         /** Called when no complete answer has arrived. */
-        fun onPrefillFailed(server: Backend)
+        fun onPrefillFailed(server: Backend, failure: SendFailure)
     }
 
     private val queuedTokens = server.load.promptTokens + promptTokens
@@ -73,7 +73,7 @@
 
     override fun onFailure(failure: SendFailure) {
         release()
-        listener.onPrefillFailed(server)
+        listener.onPrefillFailed(server, failure)
     }
 
     override fun release() {
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/PromptQuarantine.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/PromptQuarantine.kt
@@ -31,11 +31,15 @@
     fun verdict(parts: List<PromptPart>): QuarantineVerdict =
         if (table.isEmpty) QuarantineVerdict.Admit else table.verdict(parts, nowMs())
 
-    /** Records that [server] broke the connection of [request] before its answer with [parts] was established. */
-    fun onBroken(request: String?, server: Backend, parts: List<PromptPart>) {
-        if (parts.isEmpty()) return
+    /**
+     * Records that [server] broke the connection of [request] with [fingerprint] before its answer with [parts] was
+     * established.
+     */
+    fun onBroken(request: String?, fingerprint: RequestFingerprint, server: Backend, parts: List<PromptPart>) {
         val id = CrashId(server.row.id, server.row.incarnation)
         detector.check(id, server.row.address) {
+            log.write(RelayEvent.ServerCrashed(request, fingerprint.value, server.row))
+            if (parts.isEmpty()) return@check
             stats.onSuspectedCrash()
             publish("crash", request, id.server, listOfNotNull(table.onCrash(id, parts, nowMs())))
         }
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/RequestHandler.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/RequestHandler.kt
@@ -2,6 +2,7 @@
 
 import gentiandale.core.ServerId
 import gentiandale.core.ServerKind
+import gentiandale.core.backend.PromptPart
 import gentiandale.relay.RelayEvent
 import gentiandale.relay.backend.Backend
 import gentiandale.relay.routing.Repetition
@@ -170,6 +171,10 @@
         return allowed
     }
 
+    /** Checks whether [server], which has broken the connection of this request without an answer, has crashed. */
+    protected fun checkForCrash(server: Backend, parts: List<PromptPart> = emptyList()) =
+        context.quarantine.onBroken(routed.id, RequestFingerprint.of(routed.request), server, parts)
+
     /** Counts a send; those after the first are charged to the retry budget. */
     protected fun countSend() {
         sends++
