--- a/gentiandale-relay/src/test/kotlin/gentiandale/relay/CrashingEngine.kt
+++ b/gentiandale-relay/src/test/kotlin/gentiandale/relay/CrashingServer.kt
@@ -10,10 +10,10 @@
 import kotlin.concurrent.thread
 
 /**
- * Decode engine whose process ends, with all its connections, when it begins to answer a request with one of
- * [deadlyParts]. It listens again after [downMs] milliseconds.
+ * Server whose process ends, with all its connections, when it begins to answer a request that [isDeadly]. It listens
+ * again after [downMs] milliseconds. Requests whose target begins with `/stream/` are answered by events.
  */
-class CrashingEngine(private val deadlyParts: Set<String>, private val downMs: Long) : AutoCloseable {
+class CrashingServer(private val downMs: Long, private val isDeadly: (RawRequest) -> Boolean) : AutoCloseable {
     private val sockets = ConcurrentHashMap.newKeySet<Socket>()
     private var listening = listen(0)
 
@@ -23,7 +23,7 @@
     /** Port that stays the same after a crash. */
     val port = listening.localPort
 
-    /** Request ids in the order of their arrival. */
+    /** Requests in the order of their arrival. */
     val arrivals = CopyOnWriteArrayList<RawRequest>()
 
     /** Number of crashes. */
@@ -71,7 +71,11 @@
     private fun answer(request: RawRequest, socket: Socket) {
         arrivals += request
         Thread.sleep(FIRST_TOKEN_MS)
-        if (request.parts().any { it in deadlyParts }) return crash()
+        if (isDeadly(request)) return crash()
+        if (!request.target.startsWith("/stream/")) {
+            FakeServer.reply(socket, request, "ok")
+            return
+        }
         FakeServer.begin(socket, request)
         EVENTS.forEach {
             FakeServer.chunk(socket, FakeServer.event(it))
--- a/gentiandale-relay/src/test/kotlin/gentiandale/relay/QueryOfDeathTest.kt
+++ b/gentiandale-relay/src/test/kotlin/gentiandale/relay/QueryOfDeathTest.kt
@@ -6,7 +6,7 @@
 import gentiandale.core.backend.CrashId
 import gentiandale.core.backend.CrashRecord
 import gentiandale.core.backend.PromptPart
-import gentiandale.relay.CrashingEngine.Companion.parts
+import gentiandale.relay.CrashingServer.Companion.parts
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Nested
 import java.util.concurrent.CompletableFuture
@@ -20,7 +20,7 @@
 /** Requests with a part of the prompt that crashes each engine that begins to answer them. */
 class QueryOfDeathTest {
     private val relay = RelayFixture()
-    private val engines = (1..ENGINES).map { CrashingEngine(setOf("deadly"), DOWN_MS) }
+    private val engines = (1..ENGINES).map { CrashingServer(DOWN_MS) { request -> "deadly" in request.parts() } }
 
     @AfterEach
     fun close() {
