Keep requests away from servers that they have crashed when they come again

Cause: the evidence of crashes was tied to shared parts of prompts, so that plain calls, and generations without such parts, left none.

The whole request is now a suspect as well, by a digest of method, host, target and body. Calls, prefills and generations leave evidence; each answer clears it. The verdict is asked at placement, in the queue and immediately before each send. Two crashes by one request that was sent again no longer condemn the parts that it shares with others.

--- a/gentiandale-core/src/main/kotlin/gentiandale/core/backend/CrashRecord.kt
+++ b/gentiandale-core/src/main/kotlin/gentiandale/core/backend/CrashRecord.kt
@@ -5,7 +5,7 @@
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 
-/** One crash of an engine: the [incarnation] of [server] that ended. */
+/** One crash of a server: the [incarnation] of [server] that ended. */
 @Serializable
 public data class CrashId(
     @SerialName("s") val server: ServerId,
@@ -13,16 +13,16 @@
 )
 
 /**
- * What the entry VMs know of one crash of an engine.
+ * What the entry VMs know of one crash of a server.
  *
  * @param ageMs time in milliseconds since the crash, when the record was sent.
- * @param suspects shared prompt parts of each request whose answer the engine had just begun, or not yet begun.
- * @param cleared parts that an engine has answered since, so that they did not cause the crash.
+ * @param suspects traits of each request whose answer the server had just begun, or not yet begun.
+ * @param cleared traits that a server has answered since, so that they did not cause the crash.
  */
 @Serializable
 public data class CrashRecord(
     @SerialName("c") val id: CrashId,
     @SerialName("a") val ageMs: Long,
-    @SerialName("u") val suspects: Set<List<PromptPart>>,
-    @SerialName("k") val cleared: Set<PromptPart> = emptySet(),
+    @SerialName("u") val suspects: Set<List<RequestTrait>>,
+    @SerialName("k") val cleared: Set<RequestTrait> = emptySet(),
 )
--- a/gentiandale-core/src/main/kotlin/gentiandale/core/backend/CrashTable.kt
+++ b/gentiandale-core/src/main/kotlin/gentiandale/core/backend/CrashTable.kt
@@ -1,22 +1,22 @@
 package gentiandale.core.backend
 
 /**
- * Crashes of engines and the prompt parts that may have caused them. A part that crashes each engine which begins to
- * answer it is a suspect of every such crash, while the other parts of those requests are cleared as soon as an engine
- * answers a request with one of them.
+ * Crashes of servers and the traits of requests that may have caused them. A trait that crashes each server which
+ * begins to answer it is a suspect of every such crash, while the other traits of those requests are cleared as soon as
+ * a server answers a request with one of them.
  *
  * Records are merged by union, so that the result does not depend on their order, number and sources. Not thread-safe.
  */
 public class CrashTable {
     private class Crash(val crashedMs: Long) {
-        val suspects = LinkedHashSet<List<PromptPart>>()
-        val cleared = HashSet<PromptPart>()
+        val suspects = LinkedHashSet<List<RequestTrait>>()
+        val cleared = HashSet<RequestTrait>()
 
-        fun suspects(part: PromptPart) = part !in cleared && suspects.any { part in it }
+        fun suspects(trait: RequestTrait) = trait !in cleared && suspects.any { trait in it }
 
-        /** Returns the parts that explain this crash whenever [part] does: those of the same suspects. */
-        fun companionsOf(part: PromptPart): Set<PromptPart> =
-            suspects.filter { part in it }.flatMapTo(HashSet()) { it }.apply { removeAll(cleared) }
+        /** Returns the traits that explain this crash whenever [trait] does: those of the same suspects. */
+        fun companionsOf(trait: RequestTrait): Set<RequestTrait> =
+            suspects.filter { trait in it }.flatMapTo(HashSet()) { it }.apply { removeAll(cleared) }
 
         fun size() = suspects.sumOf { it.size }
     }
@@ -29,15 +29,16 @@
     /** Number of known crashes. */
     public val size: Int get() = crashes.size
 
-    /** Records at [nowMs] that a request with [parts] was at an engine when it crashed; returns the changed record. */
-    public fun onCrash(id: CrashId, parts: List<PromptPart>, nowMs: Long): CrashRecord? =
-        merge(CrashRecord(id, ageMs = 0, suspects = setOf(parts)), nowMs)
+    /** Records at [nowMs] that a request with [traits] was at a server when it crashed; returns the changed record. */
+    public fun onCrash(id: CrashId, traits: List<RequestTrait>, nowMs: Long): CrashRecord? =
+        merge(CrashRecord(id, ageMs = 0, suspects = setOf(traits)), nowMs)
 
-    /** Records at [nowMs] that an engine has answered a request with [parts]; returns the records that it changes. */
-    public fun onAnswered(parts: List<PromptPart>, nowMs: Long): List<CrashRecord> = crashes.mapNotNull { (id, crash) ->
-        val cleared = parts.filter(crash::suspects)
-        if (crash.cleared.addAll(cleared)) recordOf(id, crash, nowMs) else null
-    }
+    /** Records at [nowMs] that a server has answered a request with [traits]; returns the records that it changes. */
+    public fun onAnswered(traits: List<RequestTrait>, nowMs: Long): List<CrashRecord> =
+        crashes.mapNotNull { (id, crash) ->
+            val cleared = traits.filter(crash::suspects)
+            if (crash.cleared.addAll(cleared)) recordOf(id, crash, nowMs) else null
+        }
 
     /** Merges [record], received at [nowMs]; returns the merged record if that changes anything. */
     public fun merge(record: CrashRecord, nowMs: Long): CrashRecord? {
@@ -51,20 +52,20 @@
     }
 
     /**
-     * Decides at [nowMs] whether a request with [parts] may be sent. It is refused for a part that is suspected of
+     * Decides at [nowMs] whether a request with [traits] may be sent. It is refused for a trait that is suspected of
      * [MIN_CRASHES] crashes, unless all of these have another explanation in common that the request does not hold;
-     * such a request tells the two apart.
+     * such a request tells the two apart. So a request that was sent twice does not exclude others that share a part.
      */
-    public fun verdict(parts: List<PromptPart>, nowMs: Long): QuarantineVerdict {
+    public fun verdict(traits: List<RequestTrait>, nowMs: Long): QuarantineVerdict {
         expire(nowMs)
         if (isEmpty) return QuarantineVerdict.Admit
-        for (part in parts) {
-            val suspected = crashes.values.filter { it.suspects(part) }
+        for (trait in traits) {
+            val suspected = crashes.values.filter { it.suspects(trait) }
             if (suspected.size < MIN_CRASHES) continue
-            val explanations = suspected.map { it.companionsOf(part) }.reduce { all, next -> all intersect next }
-            if (!parts.containsAll(explanations)) continue
+            val explanations = suspected.map { it.companionsOf(trait) }.reduce { all, next -> all intersect next }
+            if (!traits.containsAll(explanations)) continue
             val leftMs = suspected.minOf { it.crashedMs } + RETENTION_MS - nowMs
-            return QuarantineVerdict.Refuse(part, suspected.size, leftMs)
+            return QuarantineVerdict.Refuse(trait, suspected.size, leftMs)
         }
         return QuarantineVerdict.Admit
     }
@@ -76,7 +77,7 @@
     }
 
     /**
-     * Returns a hash that is equal at [nowMs] for tables with the same crashes, suspects and cleared parts; 0 if the
+     * Returns a hash that is equal at [nowMs] for tables with the same crashes, suspects and cleared traits; 0 if the
      * table is empty.
      */
     public fun digest(nowMs: Long): Long {
@@ -94,24 +95,24 @@
     }
 
     private fun limitSize() {
-        while (crashes.size > MAX_CRASHES || crashes.size > 1 && crashes.values.sumOf { it.size() } > MAX_PARTS) {
+        while (crashes.size > MAX_CRASHES || crashes.size > 1 && crashes.values.sumOf { it.size() } > MAX_TRAITS) {
             crashes.remove(crashes.keys.first())
         }
     }
 
     /** Limits of the table. */
     public companion object {
-        /** Crashes after which a part is quarantined. One alone may have any cause. */
+        /** Crashes after which a trait is quarantined. One alone may have any cause. */
         public const val MIN_CRASHES: Int = 2
 
-        /** Time in milliseconds for which a crash is remembered, and so a part quarantined. */
+        /** Time in milliseconds for which a crash is remembered, and so a trait quarantined. */
         public const val RETENTION_MS: Long = 30 * 60_000L
 
         private const val MAX_CRASHES = 64
         private const val MAX_SUSPECTS = 32
 
-        /** Parts in all records together; callers choose the number of parts of a prompt. */
-        private const val MAX_PARTS = 8_192
+        /** Traits in all records together; callers choose the number of parts of a prompt. */
+        private const val MAX_TRAITS = 8_192
         private const val DIGEST_FACTOR = 31L
     }
 }
--- a/gentiandale-core/src/test/kotlin/gentiandale/core/backend/CrashTableTest.kt
+++ b/gentiandale-core/src/test/kotlin/gentiandale/core/backend/CrashTableTest.kt
@@ -13,7 +13,7 @@
 class CrashTableTest {
     private val table = CrashTable()
 
-    private fun parts(text: String) = text.split(' ').filter { it.isNotEmpty() }.map(::PromptPart)
+    private fun parts(text: String) = text.split(' ').filter { it.isNotEmpty() }.map(::RequestTrait)
 
     private fun crashId(number: Int) = CrashId(ServerId("d$number"), Incarnation(number.toLong()))
 
@@ -35,7 +35,7 @@
             crash(1, "a deadly")
             crash(2, "b deadly")
             val verdict = assertIs<QuarantineVerdict.Refuse>(table.verdict(parts("c deadly"), 1_000))
-            assertEquals(PromptPart("deadly"), verdict.part)
+            assertEquals(RequestTrait("deadly"), verdict.trait)
             assertEquals(2, verdict.crashes)
             assertEquals(CrashTable.RETENTION_MS - 1_000, verdict.leftMs)
         }
@@ -54,6 +54,37 @@
         }
     }
 
+    @Nested
+    inner class RepeatedRequests {
+        private val again = RequestTrait.ofRequest("again").value
+
+        @Test
+        fun `a request that comes again is refused after two crashes, with parts and without`() {
+            crash(1, again, "bystander")
+            crash(2, again)
+            assertTrue(isRefused(again))
+            assertTrue(!isRefused("bystander"))
+            crash(3, "common other")
+            assertTrue(isRefused("common $again"))
+        }
+
+        @Test
+        fun `two crashes by one request do not exclude others that share its parts`() {
+            crash(1, "common $again")
+            crash(2, "common $again")
+            assertTrue(isRefused("common $again"))
+            assertTrue(!isRefused("common ${RequestTrait.ofRequest("other").value}"))
+        }
+
+        @Test
+        fun `a crash by another request with the same part decides that the part is deadly`() {
+            crash(1, "deadly $again")
+            crash(2, "deadly $again")
+            crash(3, "deadly ${RequestTrait.ofRequest("other").value}")
+            assertTrue(isRefused("deadly ${RequestTrait.ofRequest("third").value}"))
+        }
+    }
+
     @Nested
     inner class SoundParts {
         @Test
@@ -105,16 +136,16 @@
 
     @Nested
     inner class Merging {
-        private fun record(number: Int, suspects: Set<List<PromptPart>>, cleared: Set<PromptPart> = emptySet()) =
+        private fun record(number: Int, suspects: Set<List<RequestTrait>>, cleared: Set<RequestTrait> = emptySet()) =
             CrashRecord(crashId(number), ageMs = 10, suspects, cleared)
 
         @Test
         fun `the result does not depend on the order and number of records`() {
             val records = listOf(
                 record(1, setOf(parts("a deadly"))),
-                record(1, setOf(parts("b")), setOf(PromptPart("b"))),
-                record(2, setOf(parts("a deadly")), setOf(PromptPart("a"))),
-                record(1, setOf(parts("a deadly")), setOf(PromptPart("a"))),
+                record(1, setOf(parts("b")), setOf(RequestTrait("b"))),
+                record(2, setOf(parts("a deadly")), setOf(RequestTrait("a"))),
+                record(1, setOf(parts("a deadly")), setOf(RequestTrait("a"))),
             )
             val digests = (0 until 50L).map { seed ->
                 val merged = CrashTable()
--- a/gentiandale-fleet/src/test/kotlin/gentiandale/fleet/CrashPropagationTest.kt
+++ b/gentiandale-fleet/src/test/kotlin/gentiandale/fleet/CrashPropagationTest.kt
@@ -3,14 +3,14 @@
 import gentiandale.core.Incarnation
 import gentiandale.core.ServerId
 import gentiandale.core.backend.CrashId
-import gentiandale.core.backend.PromptPart
+import gentiandale.core.backend.RequestTrait
 import org.junit.jupiter.api.Nested
 import kotlin.test.Test
 import kotlin.test.assertEquals
 
 /** Propagation of what crashes engines. */
 class CrashPropagationTest : VirtualFleet() {
-    private val deadly = listOf("common", "deadly").map(::PromptPart)
+    private val deadly = listOf("common", "deadly").map(::RequestTrait)
 
     private fun crash(number: Int) = CrashId(ServerId("d$number"), Incarnation(1))
 
@@ -30,11 +30,11 @@
         @Test
         fun `a part that one VM has seen answered is cleared on every VM`() {
             advance(2_000)
-            listOf(1, 2).forEach { entries[0].report(crash(it), listOf(PromptPart("common"))) }
+            listOf(1, 2).forEach { entries[0].report(crash(it), listOf(RequestTrait("common"))) }
             deliver()
-            entries[2].clear(listOf(PromptPart("common")))
+            entries[2].clear(listOf(RequestTrait("common")))
             deliver()
-            assertEquals(listOf(false, false, false), entries.map { it.refuses(listOf(PromptPart("common"))) })
+            assertEquals(listOf(false, false, false), entries.map { it.refuses(listOf(RequestTrait("common"))) })
         }
     }
 
--- a/gentiandale-fleet/src/test/kotlin/gentiandale/fleet/VirtualFleet.kt
+++ b/gentiandale-fleet/src/test/kotlin/gentiandale/fleet/VirtualFleet.kt
@@ -15,9 +15,9 @@
 import gentiandale.core.backend.CrashRecord
 import gentiandale.core.backend.CrashTable
 import gentiandale.core.backend.LimitStatement
-import gentiandale.core.backend.PromptPart
 import gentiandale.core.backend.QuarantineVerdict
 import gentiandale.core.backend.ReadSpeed
+import gentiandale.core.backend.RequestTrait
 import gentiandale.core.backend.ServiceName
 import gentiandale.core.log.EventLog
 import gentiandale.state.Document
@@ -68,14 +68,14 @@
         }
 
         /** Records a crash that this VM has seen, and tells the other VMs. */
-        fun report(id: CrashId, parts: List<PromptPart>) =
+        fun report(id: CrashId, parts: List<RequestTrait>) =
             subscriber.reportCrashes(listOfNotNull(crashes.onCrash(id, parts, now())))
 
         /** Records that an engine has answered [parts], and tells the other VMs. */
-        fun clear(parts: List<PromptPart>) = subscriber.reportCrashes(crashes.onAnswered(parts, now()))
+        fun clear(parts: List<RequestTrait>) = subscriber.reportCrashes(crashes.onAnswered(parts, now()))
 
         /** Returns whether this VM keeps requests with [parts] away from engines. */
-        fun refuses(parts: List<PromptPart>) = crashes.verdict(parts, now()) is QuarantineVerdict.Refuse
+        fun refuses(parts: List<RequestTrait>) = crashes.verdict(parts, now()) is QuarantineVerdict.Refuse
 
         /** Limits of servers that this VM knows, and the permits that it has got. */
         val limits = HashMap<ServerId, Double?>()
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/Relay.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/Relay.kt
@@ -25,8 +25,8 @@
 import gentiandale.relay.request.GenerationRequestHandler
 import gentiandale.relay.request.PlacementPolicies
 import gentiandale.relay.request.PlainRequestHandler
-import gentiandale.relay.request.PromptQuarantine
 import gentiandale.relay.request.RelayContext
+import gentiandale.relay.request.RequestQuarantine
 import gentiandale.relay.request.RoutedRequest
 import gentiandale.relay.request.endToEnd
 import gentiandale.relay.routing.RoutingTable
@@ -83,7 +83,7 @@
             generationPlacement = GenerationPlacement(settings.dataCentre, random),
             answerLengths = AnswerLengthEstimator(),
             rejections = RejectionPolicy(random),
-            quarantine = PromptQuarantine(CrashDetector(transport), clock::monotonicMs, log, stats, ownListener),
+            quarantine = RequestQuarantine(CrashDetector(transport), clock::monotonicMs, log, stats, ownListener),
             budgetOf = ::budgetOf,
             random = random,
         ),
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/RelayEvent.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/RelayEvent.kt
@@ -5,7 +5,7 @@
 import gentiandale.core.backend.BackendRow
 import gentiandale.core.backend.CrashRecord
 import gentiandale.core.backend.LimitStatement
-import gentiandale.core.backend.PromptPart
+import gentiandale.core.backend.RequestTrait
 import gentiandale.core.log.LogEvent
 import gentiandale.core.log.LogLine
 import gentiandale.relay.backend.GenerationMemory
@@ -181,7 +181,7 @@
         private val prefill: ServerId?,
         private val size: GenerationSize,
         private val need: GenerationMemory,
-        private val parts: List<PromptPart>,
+        private val parts: List<RequestTrait>,
         private val waitedMs: Long,
         private val ahead: Int,
     ) : RelayEvent("reserved") {
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/RelayStats.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/RelayStats.kt
@@ -17,10 +17,10 @@
     /** Records an answer of a server that reached the end that its [framing] shows, and whether it [isWhole]. */
     public fun onServerAnswer(framing: String, isWhole: Boolean)
 
-    /** Records that an engine crashed before the answer to a request of this VM was established. */
+    /** Records that a server crashed before the answer to a request of this VM was established. */
     public fun onSuspectedCrash()
 
-    /** Records a request that was kept away from engines because of a part of its prompt. */
+    /** Records a request that was kept away from servers, as it or a part of its prompt has crashed some. */
     public fun onQuarantined()
 
     /** Provides an implementation without effect. */
--- /dev/null
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/CrashSuspect.kt
@@ -0,0 +1,30 @@
+package gentiandale.relay.request
+
+import gentiandale.core.backend.QuarantineVerdict
+import gentiandale.core.backend.RequestTrait
+import gentiandale.relay.backend.Backend
+
+/**
+ * A request as the possible cause of server crashes, by its own fingerprint and the [parts] of its prompt. Its traits
+ * are computed only where a crash is known.
+ */
+internal class CrashSuspect(
+    private val routed: RoutedRequest,
+    val parts: List<RequestTrait>,
+    private val quarantine: RequestQuarantine,
+) {
+    private val fingerprint by lazy { RequestFingerprint.of(routed.request) }
+    private val traits by lazy { parts + RequestTrait.ofRequest(fingerprint.value) }
+
+    /** Decides whether the request may be sent to a server now. */
+    fun verdict(): QuarantineVerdict =
+        if (quarantine.isEmpty) QuarantineVerdict.Admit else quarantine.verdict(traits)
+
+    /** Checks whether [server], which has broken the connection of the request without an answer, has crashed. */
+    fun onBroken(server: Backend) = quarantine.onBroken(routed.id, fingerprint, server, traits)
+
+    /** Records that [server] has shown that it can answer the request. */
+    fun onAnswered(server: Backend) {
+        if (!quarantine.isEmpty) quarantine.onEstablished(routed.id, server, traits)
+    }
+}
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/GenerationRequestHandler.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/GenerationRequestHandler.kt
@@ -2,7 +2,6 @@
 
 import gentiandale.core.ServerId
 import gentiandale.core.ServerKind
-import gentiandale.core.backend.QuarantineVerdict
 import gentiandale.relay.RelayEvent
 import gentiandale.relay.backend.Backend
 import gentiandale.relay.backend.GenerationMemory
@@ -20,12 +19,11 @@
 
 /** Handles a request that is answered by an event stream, produced by a prefill and a decode server together. */
 internal class GenerationRequestHandler(routed: RoutedRequest, context: RelayContext) :
-    RequestHandler(routed, context),
+    RequestHandler(routed, context, context.dialect.sharedParts(routed.headers)),
     GenerationQueue.Entry,
     PrefillCall.Listener,
     GenerationCall.Listener {
     private val size = context.dialect.size(routed.headers) ?: DEFAULT_SIZE
-    private val parts = context.dialect.sharedParts(routed.headers)
     private val engine = routed.rule?.engine
     private val need = GenerationMemory(size.prompt, context.answerLengths.estimate(route.name, size), size.answer)
     private val promptReservation = PromptReservation(size.prompt)
@@ -106,15 +104,12 @@
         val waitedMs = now - routed.request.startMs
         val prefill = plan.prefill?.row?.id
         val ahead = context.queue.size
-        context.log.write(RelayEvent.Reserved(routed.id, plan.decode.load, prefill, size, need, parts, waitedMs, ahead))
+        context.log.write(
+            RelayEvent.Reserved(routed.id, plan.decode.load, prefill, size, need, crashSuspect.parts, waitedMs, ahead),
+        )
     }
 
-    override fun endIfQuarantined(): Boolean {
-        val verdict = context.quarantine.verdict(parts) as? QuarantineVerdict.Refuse ?: return false
-        context.stats.onQuarantined()
-        refuseOrFail("prompt part ${verdict.part} is suspected of ${verdict.crashes} engine crashes", verdict.leftMs)
-        return true
-    }
+    override fun endIfQuarantined(): Boolean = endIfCrashSuspect()
 
     private fun prefillServers() =
         context.candidates(routed.service).filter { it.row.kind == ServerKind.PREFILL }.map { it.row.id }
@@ -125,10 +120,8 @@
         context.loop.execute(context.queue::admit)
     }
 
-    private fun refuseOrFail(
-        reason: String,
-        retryMs: Long = context.restLeftMs(routed.service) ?: RETRY_AFTER_MS,
-    ) {
+    private fun refuseOrFail(reason: String) {
+        val retryMs = context.restLeftMs(routed.service) ?: RETRY_AFTER_MS
         if (runState == RunState.NOT_RUN && !stream.hasBegun) refuse(reason, retryMs) else fail(reason)
     }
 
@@ -227,7 +220,7 @@
     }
 
     override fun onPrefillFailed(server: Backend, failure: SendFailure) {
-        if (failure is SendFailure.Broken) checkForCrash(server)
+        if (failure is SendFailure.Broken) crashSuspect.onBroken(server)
         tried += server.row.id
         restart()
     }
@@ -264,8 +257,7 @@
         currentSend?.let { watchEvents(it, EVENT_GAP_TIMEOUT_MS, 0) }
     }
 
-    override fun onEstablished(generation: GenerationCall) =
-        context.quarantine.onEstablished(routed.id, generation.server, parts)
+    override fun onEstablished(generation: GenerationCall) = crashSuspect.onAnswered(generation.server)
 
     override fun onCompleted(status: Int) {
         context.answerLengths.observe(route.name, need.generatedTokens)
@@ -306,7 +298,7 @@
     override fun onCallFailed(generation: GenerationCall, failure: SendFailure) {
         tried += generation.server.row.id
         if (failure is SendFailure.Broken && !generation.isEstablished) {
-            checkForCrash(generation.server, parts)
+            crashSuspect.onBroken(generation.server)
         }
         when {
             failure is SendFailure.NotSent && generation.source != null -> {
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/PlainRequestHandler.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/PlainRequestHandler.kt
@@ -37,6 +37,7 @@
     }
 
     override fun dispatch() {
+        if (endIfCrashSuspect()) return
         val server = context.plainPlacement.choose(allowedServers(), tried, context.nowMs()) ?: return onNoServer()
         permits.take(server)
         if (!takeRetryBudget()) return refuseOrFail("retry budget of ${routed.service.value} exhausted")
@@ -175,10 +176,12 @@
             val answer = head ?: return
             val status = answer.status().code()
             if (hasBegunAnswer) {
+                crashSuspect.onAnswered(server)
                 routed.reply.end()
                 return finish("answered", status)
             }
             if (context.dialect.isNotExecuted(status, answer.headers())) return onRejected(status)
+            crashSuspect.onAnswered(server)
             if (!isFinal()) return onBadAnswer(status)
             progress.onPart(context.nowMs())
             routed.reply.answer(status, answer.headers().endToEnd(), body.take())
@@ -188,7 +191,7 @@
         override fun onFailure(failure: SendFailure) {
             body.release()
             if (hasBegunAnswer) return fail(failure.reason)
-            if (failure is SendFailure.Broken) checkForCrash(server)
+            if (failure is SendFailure.Broken) crashSuspect.onBroken(server)
             tried += server.row.id
             if (failure is SendFailure.NotSent) {
                 unsentCount++
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/RelayContext.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/RelayContext.kt
@@ -29,7 +29,7 @@
     val generationPlacement: GenerationPlacement,
     val answerLengths: AnswerLengthEstimator,
     val rejections: RejectionPolicy,
-    val quarantine: PromptQuarantine,
+    val quarantine: RequestQuarantine,
     val budgetOf: (ServiceName) -> RetryBudget,
     val random: Random,
 )
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/RequestHandler.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/RequestHandler.kt
@@ -2,7 +2,8 @@
 
 import gentiandale.core.ServerId
 import gentiandale.core.ServerKind
-import gentiandale.core.backend.PromptPart
+import gentiandale.core.backend.QuarantineVerdict
+import gentiandale.core.backend.RequestTrait
 import gentiandale.relay.RelayEvent
 import gentiandale.relay.backend.Backend
 import gentiandale.relay.routing.Repetition
@@ -36,8 +37,15 @@
 /**
  * Handles one routed request until its final answer. A request is refused only while no server can have started it;
  * after that, a request without an answer ends as a failure, which leaves open whether it has run.
+ *
+ * @param parts parts of the prompt that other requests may hold too.
  */
-internal abstract class RequestHandler(protected val routed: RoutedRequest, protected val context: RelayContext) {
+internal abstract class RequestHandler(
+    protected val routed: RoutedRequest,
+    protected val context: RelayContext,
+    parts: List<RequestTrait> = emptyList(),
+) {
+    protected val crashSuspect = CrashSuspect(routed, parts, context.quarantine)
     protected val route get() = routed.route
     protected val tried = HashSet<ServerId>()
     protected var runState = RunState.NOT_RUN
@@ -171,9 +179,13 @@
         return allowed
     }
 
-    /** Checks whether [server], which has broken the connection of this request without an answer, has crashed. */
-    protected fun checkForCrash(server: Backend, parts: List<PromptPart> = emptyList()) =
-        context.quarantine.onBroken(routed.id, RequestFingerprint.of(routed.request), server, parts)
+    /** Ends the request, and returns true, if it must be kept away from servers. */
+    protected fun endIfCrashSuspect(): Boolean {
+        val verdict = crashSuspect.verdict() as? QuarantineVerdict.Refuse ?: return false
+        context.stats.onQuarantined()
+        refuse("${verdict.trait} is suspected of ${verdict.crashes} server crashes", verdict.leftMs)
+        return true
+    }
 
     /** Counts a send; those after the first are charged to the retry budget. */
     protected fun countSend() {
@@ -264,7 +276,7 @@
         }
 
         override fun onConnected(): FullHttpRequest? {
-            if (isDone || isOver) return null
+            if (isDone || isOver || endIfCrashSuspect()) return null
             if (!server.isReady || server.isResting(context.nowMs()) || leftMs() <= 0) {
                 onFailure(SendFailure.NotSent("server no longer accepts work or the deadline has passed"))
                 return null
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/PromptQuarantine.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/RequestQuarantine.kt
@@ -4,8 +4,8 @@
 import gentiandale.core.backend.CrashId
 import gentiandale.core.backend.CrashRecord
 import gentiandale.core.backend.CrashTable
-import gentiandale.core.backend.PromptPart
 import gentiandale.core.backend.QuarantineVerdict
+import gentiandale.core.backend.RequestTrait
 import gentiandale.core.log.EventLog
 import gentiandale.relay.RelayEvent
 import gentiandale.relay.RelayListener
@@ -14,10 +14,10 @@
 import gentiandale.relay.upstream.CrashDetector
 
 /**
- * Keeps requests away from engines that would crash as others of their kind have made engines crash. It collects the
+ * Keeps requests away from servers that would crash as others of their kind have made servers crash. It collects the
  * evidence of this VM and exchanges it with the other VMs. Confined to the event loop.
  */
-internal class PromptQuarantine(
+internal class RequestQuarantine(
     private val detector: CrashDetector,
     private val nowMs: () -> Long,
     private val log: EventLog,
@@ -27,29 +27,25 @@
     /** Known crashes and their suspects. */
     val table = CrashTable()
 
-    /** Decides whether a request with [parts] may be sent to an engine now. */
-    fun verdict(parts: List<PromptPart>): QuarantineVerdict =
-        if (table.isEmpty) QuarantineVerdict.Admit else table.verdict(parts, nowMs())
+    /** Whether no crash is known, so that no request needs to be checked. */
+    val isEmpty: Boolean get() = table.isEmpty
 
-    /**
-     * Records that [server] broke the connection of [request] with [fingerprint] before its answer with [parts] was
-     * established.
-     */
-    fun onBroken(request: String?, fingerprint: RequestFingerprint, server: Backend, parts: List<PromptPart>) {
+    /** Decides whether a request with [traits] may be sent to a server now. */
+    fun verdict(traits: List<RequestTrait>): QuarantineVerdict = table.verdict(traits, nowMs())
+
+    /** Records that [server] broke the connection of [request] before its answer with [traits] was established. */
+    fun onBroken(request: String?, fingerprint: RequestFingerprint, server: Backend, traits: List<RequestTrait>) {
         val id = CrashId(server.row.id, server.row.incarnation)
         detector.check(id, server.row.address) {
             log.write(RelayEvent.ServerCrashed(request, fingerprint.value, server.row))
-            if (parts.isEmpty()) return@check
             stats.onSuspectedCrash()
-            publish("crash", request, id.server, listOfNotNull(table.onCrash(id, parts, nowMs())))
+            publish("crash", request, id.server, listOfNotNull(table.onCrash(id, traits, nowMs())))
         }
     }
 
-    /** Records that an engine has answered a part of [request] and has not crashed. */
-    fun onEstablished(request: String?, server: Backend, parts: List<PromptPart>) {
-        if (table.isEmpty) return
-        publish("cleared", request, server.row.id, table.onAnswered(parts, nowMs()))
-    }
+    /** Records that [server] has answered a request with [traits] and has not crashed. */
+    fun onEstablished(request: String?, server: Backend, traits: List<RequestTrait>) =
+        publish("cleared", request, server.row.id, table.onAnswered(traits, nowMs()))
 
     /** Merges [records] of another VM. */
     fun merge(records: List<CrashRecord>) {
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/upstream/Dialect.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/upstream/Dialect.kt
@@ -2,7 +2,7 @@
 
 import gentiandale.core.Address
 import gentiandale.core.ServerId
-import gentiandale.core.backend.PromptPart
+import gentiandale.core.backend.RequestTrait
 import io.netty.buffer.ByteBuf
 import io.netty.handler.codec.http.FullHttpRequest
 import io.netty.handler.codec.http.HttpHeaders
@@ -22,7 +22,7 @@
     public fun size(headers: HttpHeaders): GenerationSize?
 
     /** Returns the parts of the prompt that other requests may hold too, in their order; the last part is left out. */
-    public fun sharedParts(headers: HttpHeaders): List<PromptPart>
+    public fun sharedParts(headers: HttpHeaders): List<RequestTrait>
 
     /** Returns the id of the last event of a stream that the caller has received, or null. */
     public fun lastEventId(headers: HttpHeaders): String?
--- a/gentiandale-relay/src/test/kotlin/gentiandale/relay/QueryOfDeathTest.kt
+++ b/gentiandale-relay/src/test/kotlin/gentiandale/relay/QueryOfDeathTest.kt
@@ -5,7 +5,7 @@
 import gentiandale.core.ServerKind
 import gentiandale.core.backend.CrashId
 import gentiandale.core.backend.CrashRecord
-import gentiandale.core.backend.PromptPart
+import gentiandale.core.backend.RequestTrait
 import gentiandale.relay.CrashingServer.Companion.parts
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Nested
@@ -107,7 +107,7 @@
         private fun learn() = relay.mergeCrashes(
             listOf(1, 2).map {
                 val id = CrashId(ServerId("d$it"), Incarnation(1))
-                CrashRecord(id, ageMs = 0, suspects = setOf(listOf(PromptPart("deadly"))))
+                CrashRecord(id, ageMs = 0, suspects = setOf(listOf(RequestTrait("deadly"))))
             },
         )
 
--- a/gentiandale-relay/src/test/kotlin/gentiandale/relay/TestDialect.kt
+++ b/gentiandale-relay/src/test/kotlin/gentiandale/relay/TestDialect.kt
@@ -2,7 +2,7 @@
 
 import gentiandale.core.Address
 import gentiandale.core.ServerId
-import gentiandale.core.backend.PromptPart
+import gentiandale.core.backend.RequestTrait
 import gentiandale.relay.upstream.Dialect
 import gentiandale.relay.upstream.GenerationSize
 import io.netty.buffer.ByteBuf
@@ -20,8 +20,8 @@
 
     override fun size(headers: HttpHeaders): GenerationSize = GenerationSize(prompt = 100, answer = 20, expected = 10)
 
-    override fun sharedParts(headers: HttpHeaders): List<PromptPart> =
-        headers.get("parts")?.split(',')?.dropLast(1)?.map(::PromptPart).orEmpty()
+    override fun sharedParts(headers: HttpHeaders): List<RequestTrait> =
+        headers.get("parts")?.split(',')?.dropLast(1)?.map(::RequestTrait).orEmpty()
 
     override fun lastEventId(headers: HttpHeaders): String? = headers.get("after")
 
