Give suspects of crashes a trial, and count simultaneous crashes once

Such a part stays refused for half an hour, unless a request with it is under way that clears it.

Cause: requests that are at servers which end for other reasons are suspects like any other, and nothing but a chance answer clears them.

Crashes within 20 ms now count as one. One request with a refused trait is admitted a second after its last crash, and one 30 s after a third crash; the VM that sends it tells the others, so that they wait for its result. An answer clears the trait everywhere. After four crashes there is no further trial, so that a deadly request stays within the three retries that the users allow after its third crash. Ruled out: a higher number of crashes, which costs servers on each deadly request, and a shorter memory, which costs them again and again.

RepeatedCrashTest.SoundRequests failed before (503 for a call and a generation 1.5 s after the crashes).

--- a/gentiandale-core/src/main/kotlin/gentiandale/core/backend/CrashRecord.kt
+++ b/gentiandale-core/src/main/kotlin/gentiandale/core/backend/CrashRecord.kt
@@ -18,6 +18,7 @@
  * @param ageMs time in milliseconds since the crash, when the record was sent.
  * @param suspects traits of each request whose answer the server had just begun, or not yet begun.
  * @param cleared traits that a server has answered since, so that they did not cause the crash.
+ * @param trialAgesMs time in milliseconds since the last trial of each trait that has had one after this crash.
  */
 @Serializable
 public data class CrashRecord(
@@ -25,4 +26,5 @@
     @SerialName("a") val ageMs: Long,
     @SerialName("u") val suspects: Set<List<RequestTrait>>,
     @SerialName("k") val cleared: Set<RequestTrait> = emptySet(),
+    @SerialName("t") val trialAgesMs: Map<RequestTrait, Long> = emptyMap(),
 )
--- a/gentiandale-core/src/main/kotlin/gentiandale/core/backend/CrashTable.kt
+++ b/gentiandale-core/src/main/kotlin/gentiandale/core/backend/CrashTable.kt
@@ -8,9 +8,10 @@
  * Records are merged by union, so that the result does not depend on their order, number and sources. Not thread-safe.
  */
 public class CrashTable {
-    private class Crash(val crashedMs: Long) {
+    private class Crash(var crashedMs: Long) {
         val suspects = LinkedHashSet<List<RequestTrait>>()
         val cleared = HashSet<RequestTrait>()
+        val trialsMs = HashMap<RequestTrait, Long>()
 
         fun suspects(trait: RequestTrait) = trait !in cleared && suspects.any { trait in it }
 
@@ -40,34 +41,75 @@
             if (crash.cleared.addAll(cleared)) recordOf(id, crash, nowMs) else null
         }
 
+    /** Records that a trial of [trait] starts at [nowMs], and returns the records that it changes. */
+    public fun onTrial(trait: RequestTrait, nowMs: Long): List<CrashRecord> = crashes
+        .filterValues { it.suspects(trait) }
+        .map { (id, crash) ->
+            crash.trialsMs[trait] = nowMs
+            recordOf(id, crash, nowMs)
+        }
+
     /** Merges [record], received at [nowMs]; returns the merged record if that changes anything. */
     public fun merge(record: CrashRecord, nowMs: Long): CrashRecord? {
         if (record.ageMs >= RETENTION_MS) return null
-        val crash = crashes.getOrPut(record.id) { Crash(nowMs - record.ageMs.coerceAtLeast(0)) }
+        val crashedMs = nowMs - record.ageMs.coerceAtLeast(0)
+        val crash = crashes.getOrPut(record.id) { Crash(crashedMs) }
+        // Of several reports the one that was delayed least is right.
+        crash.crashedMs = minOf(crash.crashedMs, crashedMs)
         val suspects = record.suspects.filter { it.isNotEmpty() && crash.suspects.size < MAX_SUSPECTS }
-        val isChanged = crash.suspects.addAll(suspects) or crash.cleared.addAll(record.cleared)
+        val isChanged = crash.suspects.addAll(suspects) or crash.cleared.addAll(record.cleared) or
+            mergeTrials(crash, record, nowMs)
         if (crash.suspects.isEmpty()) crashes -= record.id
         limitSize()
         return if (isChanged) crashes[record.id]?.let { recordOf(record.id, it, nowMs) } else null
     }
 
+    private fun mergeTrials(crash: Crash, record: CrashRecord, nowMs: Long): Boolean {
+        val newer = record.trialAgesMs.mapValues { (_, ageMs) ->
+            nowMs - ageMs.coerceAtLeast(0)
+        }.filter { (trait, ms) ->
+            crash.suspects(trait) && ms > (crash.trialsMs[trait] ?: Long.MIN_VALUE)
+        }
+        // The age grows by the time of the transfer, so that only a clearly later trial is another one.
+        val isNews = newer.any { (trait, ms) -> ms - (crash.trialsMs[trait] ?: 0) > SAME_TRIAL_MS }
+        crash.trialsMs += newer
+        return isNews
+    }
+
     /**
      * Decides at [nowMs] whether a request with [traits] may be sent. It is refused for a trait that is suspected of
      * [MIN_CRASHES] crashes, unless all of these have another explanation in common that the request does not hold;
      * such a request tells the two apart. So a request that was sent twice does not exclude others that share a part.
+     * A trait that is refused gets a trial after some time, as a sound one may have met two crashes by chance.
      */
     public fun verdict(traits: List<RequestTrait>, nowMs: Long): QuarantineVerdict {
         expire(nowMs)
         if (isEmpty) return QuarantineVerdict.Admit
-        for (trait in traits) {
-            val suspected = crashes.values.filter { it.suspects(trait) }
-            if (suspected.size < MIN_CRASHES) continue
-            val explanations = suspected.map { it.companionsOf(trait) }.reduce { all, next -> all intersect next }
-            if (!traits.containsAll(explanations)) continue
-            val leftMs = suspected.minOf { it.crashedMs } + RETENTION_MS - nowMs
-            return QuarantineVerdict.Refuse(trait, suspected.size, leftMs)
+        val verdicts = traits.mapNotNull { verdict(it, traits, nowMs) }
+        return verdicts.find { it is QuarantineVerdict.Refuse } ?: verdicts.firstOrNull() ?: QuarantineVerdict.Admit
+    }
+
+    /** Returns the verdict on a request with [traits] because of [trait], or null if that is no reason to refuse it. */
+    private fun verdict(trait: RequestTrait, traits: List<RequestTrait>, nowMs: Long): QuarantineVerdict? {
+        val suspected = crashes.values.filter { it.suspects(trait) }
+        val count = countMoments(suspected)
+        if (count < MIN_CRASHES) return null
+        val explanations = suspected.map { it.companionsOf(trait) }.reduce { all, next -> all intersect next }
+        if (!traits.containsAll(explanations)) return null
+        val forgottenMs = suspected.minOf { it.crashedMs } + RETENTION_MS
+        val lastMs = suspected.maxOf { maxOf(it.crashedMs, it.trialsMs[trait] ?: it.crashedMs) }
+        val trialMs = TRIAL_PAUSES_MS.getOrNull(count - MIN_CRASHES)?.let { lastMs + it }
+        return when {
+            trialMs == null -> QuarantineVerdict.Refuse(trait, count, forgottenMs - nowMs)
+            nowMs >= trialMs -> QuarantineVerdict.Trial(trait)
+            else -> QuarantineVerdict.Refuse(trait, count, minOf(trialMs, forgottenMs) - nowMs)
         }
-        return QuarantineVerdict.Admit
+    }
+
+    /** Counts [crashes] that happened at the same moment once, as they have a cause in common that is no request. */
+    private fun countMoments(crashes: List<Crash>): Int {
+        val times = crashes.map { it.crashedMs }.sorted()
+        return times.zipWithNext().count { (before, after) -> after - before > SAME_MOMENT_MS } + minOf(1, times.size)
     }
 
     /** Returns all records, with their ages at [nowMs]. */
@@ -88,7 +130,13 @@
     }
 
     private fun recordOf(id: CrashId, crash: Crash, nowMs: Long) =
-        CrashRecord(id, nowMs - crash.crashedMs, crash.suspects.toSet(), crash.cleared.toSet())
+        CrashRecord(
+            id,
+            nowMs - crash.crashedMs,
+            crash.suspects.toSet(),
+            crash.cleared.toSet(),
+            crash.trialsMs.mapValues { nowMs - it.value },
+        )
 
     private fun expire(nowMs: Long) {
         if (crashes.isNotEmpty()) crashes.values.removeIf { nowMs - it.crashedMs >= RETENTION_MS }
@@ -108,6 +156,18 @@
         /** Time in milliseconds for which a crash is remembered, and so a trait quarantined. */
         public const val RETENTION_MS: Long = 30 * 60_000L
 
+        /**
+         * Time in milliseconds from the last crash or trial of a trait to its next trial, after two crashes and after
+         * three. After more, only the time of [RETENTION_MS] ends the quarantine, since each trial may cost a server.
+         */
+        private val TRIAL_PAUSES_MS = listOf(1_000L, 30_000L)
+
+        /** Longer than it takes to learn of a crash, and shorter than a server needs to begin a request again. */
+        private const val SAME_MOMENT_MS = 20L
+
+        /** Longer than a message takes, and shorter than the time between two trials. */
+        private const val SAME_TRIAL_MS = 500L
+
         private const val MAX_CRASHES = 64
         private const val MAX_SUSPECTS = 32
 
--- a/gentiandale-fleet/src/test/kotlin/gentiandale/fleet/VirtualFleet.kt
+++ b/gentiandale-fleet/src/test/kotlin/gentiandale/fleet/VirtualFleet.kt
@@ -74,6 +74,9 @@
         /** Records that an engine has answered [parts], and tells the other VMs. */
         fun clear(parts: List<RequestTrait>) = subscriber.reportCrashes(crashes.onAnswered(parts, now()))
 
+        /** Records that this VM sends a request as a trial of [trait], and tells the other VMs. */
+        fun startTrial(trait: RequestTrait) = subscriber.reportCrashes(crashes.onTrial(trait, now()))
+
         /** Returns whether this VM keeps requests with [parts] away from engines. */
         fun refuses(parts: List<RequestTrait>) = crashes.verdict(parts, now()) is QuarantineVerdict.Refuse
 
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/RelayEvent.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/RelayEvent.kt
@@ -147,20 +147,20 @@
     /**
      * The suspects of a crash of an engine have changed.
      *
-     * @param kind `crash` for a suspect of this VM, `cleared` for parts that [server] has answered, `learned` for news
-     *   of another VM.
+     * @param kind `crash` for a suspect of this VM, `cleared` for traits that [server] has answered, `trial` for a
+     *   request that is sent in spite of the suspicion, `learned` for news of another VM.
      * @param crashes number of known crashes.
      */
     public class CrashEvidence(
         private val kind: String,
         private val request: String?,
-        private val server: ServerId,
+        private val server: ServerId?,
         private val record: CrashRecord,
         private val crashes: Int,
     ) : RelayEvent("crash-evidence") {
         override fun describe(line: LogLine) {
             val suspected = record.suspects.flatten().toSet() - record.cleared
-            line.field("kind", kind).field("request", request).field("server", server.value)
+            line.field("kind", kind).field("request", request).field("server", server?.value)
                 .field("crashed", record.id.server.value).field("incarnation_of_server", record.id.incarnation.value)
                 .field("age_ms", record.ageMs).field("suspects", record.suspects.size)
                 .field("parts", suspected.take(MAX_LOGGED_PARTS).joinToString(",")).field("crashes", crashes)
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/CrashSuspect.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/CrashSuspect.kt
@@ -16,12 +16,24 @@
     private val fingerprint by lazy { RequestFingerprint.of(routed.request) }
     private val traits by lazy { parts + RequestTrait.ofRequest(fingerprint.value) }
 
-    /** Decides whether the request may be sent to a server now. */
-    fun verdict(): QuarantineVerdict =
-        if (quarantine.isEmpty) QuarantineVerdict.Admit else quarantine.verdict(traits)
+    private var isTrial = false
+
+    /** Decides whether the request may be sent to a server now; the first send of a trial announces it. */
+    fun verdict(): QuarantineVerdict {
+        if (isTrial || quarantine.isEmpty) return QuarantineVerdict.Admit
+        val verdict = quarantine.verdict(traits)
+        if (verdict is QuarantineVerdict.Trial) {
+            isTrial = true
+            quarantine.onTrial(routed.id, verdict.trait)
+        }
+        return verdict
+    }
 
     /** Checks whether [server], which has broken the connection of the request without an answer, has crashed. */
-    fun onBroken(server: Backend) = quarantine.onBroken(routed.id, fingerprint, server, traits)
+    fun onBroken(server: Backend) {
+        isTrial = false
+        quarantine.onBroken(routed.id, fingerprint, server, traits)
+    }
 
     /** Records that [server] has shown that it can answer the request. */
     fun onAnswered(server: Backend) {
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/RequestQuarantine.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/RequestQuarantine.kt
@@ -47,6 +47,10 @@
     fun onEstablished(request: String?, server: Backend, traits: List<RequestTrait>) =
         publish("cleared", request, server.row.id, table.onAnswered(traits, nowMs()))
 
+    /** Records that [request] is sent as a trial of [trait], so that other requests with it wait for the result. */
+    fun onTrial(request: String?, trait: RequestTrait) =
+        publish("trial", request, null, table.onTrial(trait, nowMs()))
+
     /** Merges [records] of another VM. */
     fun merge(records: List<CrashRecord>) {
         val now = nowMs()
@@ -55,7 +59,7 @@
         }
     }
 
-    private fun publish(kind: String, request: String?, server: ServerId, changed: List<CrashRecord>) {
+    private fun publish(kind: String, request: String?, server: ServerId?, changed: List<CrashRecord>) {
         if (changed.isEmpty()) return
         changed.forEach { log.write(RelayEvent.CrashEvidence(kind, request, server, it, table.size)) }
         listener.onCrashEvidence(changed)
--- a/gentiandale-relay/src/test/kotlin/gentiandale/relay/RepeatedCrashTest.kt
+++ b/gentiandale-relay/src/test/kotlin/gentiandale/relay/RepeatedCrashTest.kt
@@ -89,7 +89,38 @@
         }
     }
 
+    @Nested
+    inner class SoundRequests {
+        @Volatile
+        private var crashesAll = true
+
+        private fun crashThenCallAgain(kind: ServerKind, target: String): String {
+            repeat(SERVERS) { index ->
+                val server = CrashingServer(DOWN_MS) { crashesAll }
+                servers += server
+                relay.merge(rowOf("s$index", kind, server.port))
+            }
+            send(target, 1)
+            crashesAll = false
+            Thread.sleep(RECOVERY_MS)
+            return send(target, 2)
+        }
+
+        @Test
+        fun `a call that two servers crashed under for other reasons is served again soon`() {
+            val answer = crashThenCallAgain(ServerKind.PLAIN, "/safe/sound")
+            assertTrue(answer.startsWith("HTTP/1.1 200"), answer)
+        }
+
+        @Test
+        fun `a generation that two engines crashed under for other reasons is served again soon`() {
+            val answer = crashThenCallAgain(ServerKind.DECODE, "/stream/sound")
+            assertTrue(answer.startsWith("HTTP/1.1 200"), answer)
+        }
+    }
+
     private companion object {
+        const val RECOVERY_MS = 1_500L
         const val SERVERS = 4
         const val DOWN_MS = 300L
         const val REPEATS = 10
