Send only what is new about a crash

A change now sends its news alone, which has the same effect on merging. Whole records are sent where digests differ, as before. CrashTableTest failed before (the record of the 21st suspect held all of them).

--- a/gentiandale-core/src/main/kotlin/gentiandale/core/backend/CrashTable.kt
+++ b/gentiandale-core/src/main/kotlin/gentiandale/core/backend/CrashTable.kt
@@ -30,50 +30,54 @@
     /** Number of known crashes. */
     public val size: Int get() = crashes.size
 
-    /** Records at [nowMs] that a request with [traits] was at a server when it crashed; returns the changed record. */
+    /** Records at [nowMs] that a request with [traits] was at a server when it crashed; returns what is new. */
     public fun onCrash(id: CrashId, traits: List<RequestTrait>, nowMs: Long): CrashRecord? =
         merge(CrashRecord(id, ageMs = 0, suspects = setOf(traits)), nowMs)
 
-    /** Records at [nowMs] that a server has answered a request with [traits]; returns the records that it changes. */
+    /** Records at [nowMs] that a server has answered a request with [traits]; returns what is new. */
     public fun onAnswered(traits: List<RequestTrait>, nowMs: Long): List<CrashRecord> =
         crashes.mapNotNull { (id, crash) ->
-            val cleared = traits.filter(crash::suspects)
-            if (crash.cleared.addAll(cleared)) recordOf(id, crash, nowMs) else null
+            val cleared = traits.filter(crash::suspects).toSet()
+            crash.cleared += cleared
+            newsOf(id, crash, nowMs, cleared = cleared).takeIf { cleared.isNotEmpty() }
         }
 
-    /** Records that a trial of [trait] starts at [nowMs], and returns the records that it changes. */
+    /** Records that a trial of [trait] starts at [nowMs], and returns what is new. */
     public fun onTrial(trait: RequestTrait, nowMs: Long): List<CrashRecord> = crashes
         .filterValues { it.suspects(trait) }
         .map { (id, crash) ->
             crash.trialsMs[trait] = nowMs
-            recordOf(id, crash, nowMs)
+            newsOf(id, crash, nowMs, trialAgesMs = mapOf(trait to 0))
         }
 
-    /** Merges [record], received at [nowMs]; returns the merged record if that changes anything. */
+    /** Merges [record], received at [nowMs]; returns what is new in it, or null. */
     public fun merge(record: CrashRecord, nowMs: Long): CrashRecord? {
         if (record.ageMs >= RETENTION_MS) return null
         val crashedMs = nowMs - record.ageMs.coerceAtLeast(0)
         val crash = crashes.getOrPut(record.id) { Crash(crashedMs) }
         // Of several reports the one that was delayed least is right.
         crash.crashedMs = minOf(crash.crashedMs, crashedMs)
-        val suspects = record.suspects.filter { it.isNotEmpty() && crash.suspects.size < MAX_SUSPECTS }
-        val isChanged = crash.suspects.addAll(suspects) or crash.cleared.addAll(record.cleared) or
-            mergeTrials(crash, record, nowMs)
+        val suspects = record.suspects
+            .filter { it.isNotEmpty() && it !in crash.suspects && crash.suspects.size < MAX_SUSPECTS }.toSet()
+        val cleared = record.cleared - crash.cleared
+        crash.suspects += suspects
+        crash.cleared += cleared
+        val trials = mergeTrials(crash, record, nowMs)
         if (crash.suspects.isEmpty()) crashes -= record.id
         limitSize()
-        return if (isChanged) crashes[record.id]?.let { recordOf(record.id, it, nowMs) } else null
+        val isNews = suspects.isNotEmpty() || cleared.isNotEmpty() || trials.isNotEmpty()
+        return if (isNews) crashes[record.id]?.let { newsOf(record.id, it, nowMs, suspects, cleared, trials) } else null
     }
 
-    private fun mergeTrials(crash: Crash, record: CrashRecord, nowMs: Long): Boolean {
-        val newer = record.trialAgesMs.mapValues { (_, ageMs) ->
-            nowMs - ageMs.coerceAtLeast(0)
-        }.filter { (trait, ms) ->
-            crash.suspects(trait) && ms > (crash.trialsMs[trait] ?: Long.MIN_VALUE)
+    /** Merges the trials of [record] into [crash], and returns the ages of those that were not known. */
+    private fun mergeTrials(crash: Crash, record: CrashRecord, nowMs: Long): Map<RequestTrait, Long> {
+        val newer = record.trialAgesMs.filter { (trait, ageMs) ->
+            crash.suspects(trait) && nowMs - ageMs > (crash.trialsMs[trait] ?: Long.MIN_VALUE)
         }
         // The age grows by the time of the transfer, so that only a clearly later trial is another one.
-        val isNews = newer.any { (trait, ms) -> ms - (crash.trialsMs[trait] ?: 0) > SAME_TRIAL_MS }
-        crash.trialsMs += newer
-        return isNews
+        val news = newer.filter { (trait, ageMs) -> nowMs - ageMs - (crash.trialsMs[trait] ?: 0) > SAME_TRIAL_MS }
+        crash.trialsMs += newer.mapValues { (_, ageMs) -> nowMs - ageMs }
+        return news
     }
 
     /**
@@ -130,13 +134,17 @@
     }
 
     private fun recordOf(id: CrashId, crash: Crash, nowMs: Long) =
-        CrashRecord(
-            id,
-            nowMs - crash.crashedMs,
-            crash.suspects.toSet(),
-            crash.cleared.toSet(),
-            crash.trialsMs.mapValues { nowMs - it.value },
-        )
+        newsOf(id, crash, nowMs, crash.suspects, crash.cleared, crash.trialsMs.mapValues { nowMs - it.value })
+
+    /** Returns a record of a part of what is known about [crash]; merging it has the same effect as the whole. */
+    private fun newsOf(
+        id: CrashId,
+        crash: Crash,
+        nowMs: Long,
+        suspects: Set<List<RequestTrait>> = emptySet(),
+        cleared: Set<RequestTrait> = emptySet(),
+        trialAgesMs: Map<RequestTrait, Long> = emptyMap(),
+    ) = CrashRecord(id, nowMs - crash.crashedMs, suspects.toSet(), cleared.toSet(), trialAgesMs)
 
     private fun expire(nowMs: Long) {
         if (crashes.isNotEmpty()) crashes.values.removeIf { nowMs - it.crashedMs >= RETENTION_MS }
--- a/gentiandale-core/src/test/kotlin/gentiandale/core/backend/CrashTableTest.kt
+++ b/gentiandale-core/src/test/kotlin/gentiandale/core/backend/CrashTableTest.kt
@@ -237,6 +237,15 @@
             assertNull(table.merge(record(2, setOf(parts("a"))).copy(ageMs = CrashTable.RETENTION_MS), 60))
         }
 
+        @Test
+        fun `only what is new is passed on, however many suspects a crash has`() {
+            repeat(20) { table.onCrash(crashId(1), parts("a$it"), 0) }
+            assertEquals(record(1, setOf(parts("b"))).copy(ageMs = 5), table.onCrash(crashId(1), parts("b"), 5))
+            val cleared = table.onAnswered(parts("b"), 9).single()
+            assertEquals(setOf(RequestTrait("b")), cleared.cleared)
+            assertTrue(cleared.suspects.isEmpty())
+        }
+
         @Test
         fun `the age of a record survives its transfer, so that it is not kept alive by being passed on`() {
             table.onCrash(crashId(1), parts("a"), 1_000)
