Don't wait for permits of servers that a request can't use any more

A plain call whose only limited server had failed it, or could not be reached, waited for a permit of that server until its target and was refused then, though it was known before that no permit would help; a generation stayed in the queue for the same reason. Only servers that the request may still be sent to count now.

The new case of RequestLimitTest failed before (986 ms) and passes.

--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/GenerationRequestHandler.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/GenerationRequestHandler.kt
@@ -66,7 +66,7 @@
         when (val plan = context.generationPlacement.plan(candidates, excluded, need, engineRule, now, gapMs)) {
             is GenerationPlan.NoCapacity -> return false
             is GenerationPlan.NoServer -> {
-                if (context.lacksPermits(routed.service)) return false
+                if (context.lacksPermits(routed.service) { it.row.id !in excluded }) return false
                 refuseOrFail("no decode server available")
             }
             is GenerationPlan.Placement -> {
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/PlainRequestHandler.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/PlainRequestHandler.kt
@@ -48,7 +48,7 @@
     }
 
     private fun onNoServer() {
-        if (context.lacksPermits(routed.service)) return waitForPermit()
+        if (context.lacksPermits(routed.service) { isAllowed(it) && it.row.id !in tried }) return waitForPermit()
         if (tried.isEmpty()) refuse("no server", noServerRetryMs()) else refuseOrFail("no other server")
     }
 
@@ -90,9 +90,10 @@
     }
 
     /** Returns the servers that the request may be sent to: if its route allows no more, those that it was sent to. */
-    private fun allowedServers(): List<Backend> = context.candidates(routed.service).filter {
-        it.row.kind != ServerKind.PREFILL && (sentTo.size < route.maxAttempts || it.row.id in sentTo)
-    }
+    private fun allowedServers(): List<Backend> = context.candidates(routed.service).filter(::isAllowed)
+
+    private fun isAllowed(server: Backend): Boolean =
+        server.row.kind != ServerKind.PREFILL && (sentTo.size < route.maxAttempts || server.row.id in sentTo)
 
     /** Tries another server, waits for a place, or refuses the request, which [server] has rejected as it was full. */
     private fun afterRejection(server: Backend, reason: String) {
@@ -140,7 +141,7 @@
 
     private fun refuseOrFail(reason: String) {
         val retryMs = context.restLeftMs(routed.service)
-            ?: if (context.lacksPermits(routed.service)) LIMITED_RETRY_MS else FULL_RETRY_MS
+            ?: if (context.lacksPermits(routed.service, ::isAllowed)) LIMITED_RETRY_MS else FULL_RETRY_MS
         if (runState == RunState.NOT_RUN) refuse(reason, retryMs) else fail(reason)
     }
 
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/RelayContext.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/RelayContext.kt
@@ -71,9 +71,9 @@
         admits
     }
 
-    /** Returns whether a server of [service] would accept work if this VM had a permit for it. */
-    fun lacksPermits(service: ServiceName): Boolean =
-        registry.ready(service, nowMs()).any { !it.limit.admits(nowMs()) }
+    /** Returns whether a server of [service] that [isAllowed] would accept work if this VM had a permit for it. */
+    fun lacksPermits(service: ServiceName, isAllowed: (Backend) -> Boolean): Boolean =
+        registry.ready(service, nowMs()).any { !it.limit.admits(nowMs()) && isAllowed(it) }
 
     /** Lets requests continue that wait for permits or for the end of a limit. */
     fun onPermits() {
--- a/gentiandale-relay/src/test/kotlin/gentiandale/relay/RequestLimitTest.kt
+++ b/gentiandale-relay/src/test/kotlin/gentiandale/relay/RequestLimitTest.kt
@@ -72,6 +72,19 @@
         }
     }
 
+    @Nested
+    inner class Tried {
+        @Test
+        fun `a call does not wait for permits of a server that it could not reach`() {
+            relay.server("a") { _, _ -> false }.close()
+            relay.mergeLimits(listOf(LimitStatement(ServerId("a"), Incarnation(1), perSecond = 2.0)))
+            val startNanos = System.nanoTime()
+            assertTrue(relay.get("/safe/1").startsWith("HTTP/1.1 503"))
+            val elapsedMs = (System.nanoTime() - startNanos) / NANOS_PER_MS
+            assertTrue(elapsedMs < TARGET_MS / 2, "$elapsedMs ms")
+        }
+    }
+
     @Nested
     inner class Unreachable {
         @Test
@@ -168,6 +181,9 @@
 
     private companion object {
         const val PERMIT_DELAY_MS = 150L
+
+        /** Target of the route, until which a call may wait for a permit. */
+        const val TARGET_MS = 1_000L
         const val LIMIT = 4
         const val RUN_MS = 4_000L
         const val INTERVAL_MS = 25L
