Check the server before an answer without a length is taken as whole

An answer without a length or chunks ends with its connection, and a server whose process ends closes its connections in the same orderly way. Now such an end is unproven: 30 ms later one new connection is opened, and if it is refused the answer counts as broken off: a stream is resumed, a call that may run twice is sent again, and anything else is not framed as complete.

Ruled out: passing the check to a server that leaves, which finishes its answers before its process ends; its end stays whole. Ruled out too: three connections as for crash evidence, because each holds a place of the server for a moment and the caller waits.

Conclusion: what remains of this class is a sound process that cuts an unframed answer in order between two events.

--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/Relay.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/Relay.kt
@@ -31,7 +31,6 @@
 import gentiandale.relay.request.endToEnd
 import gentiandale.relay.routing.RoutingTable
 import gentiandale.relay.routing.drawService
-import gentiandale.relay.upstream.CrashDetector
 import gentiandale.relay.upstream.Dialect
 import gentiandale.relay.upstream.Transport
 import gentiandale.relay.upstream.Upstreams
@@ -83,7 +82,7 @@
             generationPlacement = GenerationPlacement(settings.dataCentre, random),
             answerLengths = AnswerLengthEstimator(),
             rejections = RejectionPolicy(random),
-            quarantine = RequestQuarantine(CrashDetector(transport), clock::monotonicMs, log, stats, ownListener),
+            quarantine = RequestQuarantine(upstreams.crashes, clock::monotonicMs, log, stats, ownListener),
             budgetOf = ::budgetOf,
             random = random,
         ),
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/AnswerEnd.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/AnswerEnd.kt
@@ -22,6 +22,9 @@
     /** The server broke the answer off for [reason], although its framing shows an end. */
     data class BrokenOff(val reason: String) : AnswerEnd
 
+    /** The answer ended with its connection, which the end of the server's process closes in the same way. */
+    data object Unproven : AnswerEnd
+
     companion object {
         /**
          * Judges the end of an event stream. The framing alone proves nothing: a body that ends with its connection has
@@ -34,7 +37,11 @@
             framing != AnswerFraming.CONNECTION_END -> Whole
             tail == StreamTail.UNFINISHED_COMMENT -> BrokenOff("stream ended inside a comment with its connection")
             events == 0 -> BrokenOff("stream ended before its first event with its connection")
-            else -> Whole
+            else -> Unproven
         }
+
+        /** Judges the end of an answer that is not an event stream; only a success claims to be the whole answer. */
+        fun ofPlain(framing: AnswerFraming, isSuccess: Boolean): AnswerEnd =
+            if (framing == AnswerFraming.CONNECTION_END && isSuccess) Unproven else Whole
     }
 }
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/PlainRequestHandler.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/PlainRequestHandler.kt
@@ -6,6 +6,7 @@
 import gentiandale.relay.placement.PermitWaitPolicy
 import gentiandale.relay.placement.RejectionStep
 import gentiandale.relay.routing.Repetition
+import gentiandale.relay.upstream.AnswerFraming
 import gentiandale.relay.upstream.SendFailure
 import io.netty.buffer.ByteBuf
 import io.netty.handler.codec.http.FullHttpRequest
@@ -173,6 +174,8 @@
             return BodyVerdict.Continue
         }
 
+        override fun judgeEnd(framing: AnswerFraming): AnswerEnd = AnswerEnd.ofPlain(framing, isSuccess())
+
         override fun onEnd() {
             val answer = head ?: return
             val status = answer.status().code()
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/RequestHandler.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/RequestHandler.kt
@@ -25,15 +25,6 @@
 import io.netty.util.concurrent.ScheduledFuture
 import java.util.concurrent.TimeUnit
 
-/** Whether a server may have executed a request that got no answer. */
-internal enum class RunState {
-    /** No server has started it. */
-    NOT_RUN,
-
-    /** A server may have started it. */
-    MAY_HAVE_RUN,
-}
-
 /**
  * Handles one routed request until its final answer. A request is refused only while no server can have started it;
  * after that, a request without an answer ends as a failure, which leaves open whether it has run.
@@ -336,17 +327,36 @@
         override fun onEnd(framing: AnswerFraming) {
             if (isDone) return
             progress.onAnswerEnd(framing)
-            val end = handler.judgeEnd(framing)
-            context.stats.onServerAnswer(framing.label, end is AnswerEnd.Whole)
-            when (end) {
-                is AnswerEnd.Whole -> {
-                    done()
-                    handler.onEnd()
+            when (val end = handler.judgeEnd(framing)) {
+                is AnswerEnd.Whole -> onWhole(framing)
+                is AnswerEnd.BrokenOff -> onBrokenOff(framing, end.reason)
+                is AnswerEnd.Unproven -> context.upstreams.crashes.checkOnce(server.row.address) { isRefused ->
+                    if (!isDone) onChecked(framing, isRefused)
                 }
-                is AnswerEnd.BrokenOff -> onFailure(SendFailure.Broken(end.reason))
             }
         }
 
+        /** Ends an answer that has no mark of its end, after the server has taken a new connection or refused it. */
+        private fun onChecked(framing: AnswerFraming, isRefused: Boolean) {
+            // A server that has said that it leaves finishes its answers before its process ends.
+            if (isRefused && server.row.acceptsWork) {
+                onBrokenOff(framing, "answer without a length ended as its server refused connections")
+            } else {
+                onWhole(framing)
+            }
+        }
+
+        private fun onWhole(framing: AnswerFraming) {
+            context.stats.onServerAnswer(framing.label, isWhole = true)
+            done()
+            handler.onEnd()
+        }
+
+        private fun onBrokenOff(framing: AnswerFraming, reason: String) {
+            context.stats.onServerAnswer(framing.label, isWhole = false)
+            onFailure(SendFailure.Broken(reason))
+        }
+
         override fun onFailure(failure: SendFailure) {
             if (isDone) return
             done()
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/upstream/CrashDetector.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/upstream/CrashDetector.kt
@@ -26,11 +26,16 @@
         connect(id, address, 1)
     }
 
+    /**
+     * Reports to [onResult] whether the server at [address], which has just closed a connection, refuses a new one.
+     * One connection is enough, since an answer must not wait longer; a server that can't be reached has not refused.
+     */
+    fun checkOnce(address: Address, onResult: (Boolean) -> Unit) {
+        transport.loop.schedule({ probe(address, onResult) }, CHECK_DELAY_MS, TimeUnit.MILLISECONDS)
+    }
+
     private fun connect(id: CrashId, address: Address, attempt: Int) {
-        val bootstrap = transport.client(CONNECT_TIMEOUT_MS).handler(ChannelInboundHandlerAdapter())
-        bootstrap.connect(address.host, address.port).addListener { connected ->
-            (connected as ChannelFuture).channel().close()
-            val isRefused = connected.cause().let { it is ConnectException && it !is ConnectTimeoutException }
+        probe(address) { isRefused ->
             when {
                 isRefused -> pending.remove(id)?.forEach { it() }
                 attempt >= MAX_ATTEMPTS -> pending -= id
@@ -43,11 +48,22 @@
         }
     }
 
+    private fun probe(address: Address, onResult: (Boolean) -> Unit) {
+        val bootstrap = transport.client(CONNECT_TIMEOUT_MS).handler(ChannelInboundHandlerAdapter())
+        bootstrap.connect(address.host, address.port).addListener { connected ->
+            (connected as ChannelFuture).channel().close()
+            onResult(connected.cause().let { it is ConnectException && it !is ConnectTimeoutException })
+        }
+    }
+
     private companion object {
         const val CONNECT_TIMEOUT_MS = 250
 
         /** A process that ends may close its connections some time before its listening socket. */
         const val MAX_ATTEMPTS = 3
         const val RETRY_INTERVAL_MS = 60L
+
+        /** Longer than a process that is killed takes to close its sockets, and shorter than callers notice. */
+        const val CHECK_DELAY_MS = 30L
     }
 }
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/upstream/Upstreams.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/upstream/Upstreams.kt
@@ -15,6 +15,9 @@
 
     private val pools = HashMap<Key, ServerConnectionPool>()
 
+    /** Tells servers whose process has ended from those that have only closed a connection. */
+    val crashes = CrashDetector(transport)
+
     /** Sends a request to [backend] over a connection that has been idle for at most [maxIdleMs] milliseconds. */
     fun send(backend: Backend, requestId: String?, maxIdleMs: Long, listener: AnswerListener): Exchange {
         val exchange = Exchange(listener, requestId)
--- a/gentiandale-relay/src/test/kotlin/gentiandale/relay/BrokenOffAnswerTest.kt
+++ b/gentiandale-relay/src/test/kotlin/gentiandale/relay/BrokenOffAnswerTest.kt
@@ -161,6 +161,68 @@
         }
     }
 
+    /** Servers whose process ends, with all connections closed in order, in an answer without a length. */
+    @Nested
+    inner class EndOfProcess {
+        private val servers = ArrayList<FakeServer>()
+
+        private fun endProcess(request: RawRequest) = servers.first { request in it.requests }.close()
+
+        private fun writeAndEnd(request: RawRequest, socket: Socket): Boolean {
+            write(socket, request, FakeServer.event(1) + FakeServer.event(2), Framing.CONNECTION_END)
+            endProcess(request)
+            return false
+        }
+
+        @Test
+        fun `a stream cut between two events by the end of its engine is resumed`() {
+            servers += resumingServers(::writeAndEnd)
+            val answer = relay.get("/stream/1")
+            assertEquals(listOf("1", "2", "3", "4"), events(answer))
+            assertTrue(isComplete(answer))
+        }
+
+        @Test
+        fun `a stream cut between two events that can't be resumed is not framed as complete`() {
+            servers += relay.server("d1", ServerKind.DECODE, ::writeAndEnd)
+            val answer = relay.get("/stream-once/1")
+            assertEquals(listOf("1", "2"), events(answer))
+            assertFalse(isComplete(answer))
+        }
+
+        @Test
+        fun `a stream of an engine that leaves is complete at the end of its process`() {
+            servers += relay.server("d1", ServerKind.DECODE) { request, socket ->
+                relay.merge(rowOf("d1", ServerKind.DECODE, servers.single().port).copy(departing = true))
+                writeAndEnd(request, socket)
+            }
+            assertTrue(isComplete(relay.get("/stream-once/1")))
+        }
+
+        private fun startPlain() = listOf("a", "b").forEach { id ->
+            servers += relay.server(id) { request, socket ->
+                val isFirst = !hasBroken
+                hasBroken = true
+                if (!isFirst) return@server FakeServer.reply(socket, request, "whole")
+                write(socket, request, "wh", Framing.CONNECTION_END)
+                endProcess(request)
+                false
+            }
+        }
+
+        @Test
+        fun `a call cut by the end of its server is sent again if it may run twice`() {
+            startPlain()
+            assertTrue(relay.get("/safe/1").endsWith("\r\n\r\nwhole"))
+        }
+
+        @Test
+        fun `a call cut by the end of its server is no success if it may run once`() {
+            startPlain()
+            assertTrue(relay.get("/once/1").startsWith("HTTP/1.1 502"))
+        }
+    }
+
     /** Callers that end an answer with its connection, since HTTP/1.0 has no chunks. */
     @Nested
     inner class OldCallers {
