--- a/gentiandale-relay/src/test/kotlin/gentiandale/relay/RelayFixture.kt
+++ b/gentiandale-relay/src/test/kotlin/gentiandale/relay/RelayFixture.kt
@@ -53,6 +53,10 @@
         return fake
     }
 
+    /** Starts a prefill server with a backlog, so that a pause of the machine doesn't exceed the limit of a prefill. */
+    fun prefillServer(id: String, answer: (RawRequest, Socket) -> Boolean): FakeServer =
+        server(id, ServerKind.PREFILL, answer).also { reportPeerPrompts(id, promptTokens = BACKLOG_TOKENS) }
+
     /** Merges [row], as from a control VM. */
     fun merge(row: BackendRow) {
         transport.loop.submit { relay.merge(row) }.get()
@@ -191,5 +195,8 @@
     private companion object {
         const val SOCKET_TIMEOUT_MS = 10_000
         const val PERMIT_VALIDITY_MS = 400L
+
+        /** Read in 0.4 s, for which a prefill may take almost a second; more would be too long for new prompts. */
+        const val BACKLOG_TOKENS = 10_000L
     }
 }
--- a/gentiandale-relay/src/test/kotlin/gentiandale/relay/StreamRelayTest.kt
+++ b/gentiandale-relay/src/test/kotlin/gentiandale/relay/StreamRelayTest.kt
@@ -20,7 +20,7 @@
     inner class CacheTransfer {
         @Test
         fun `a prefill server reads the prompt and a decode server streams from its KV cache`() {
-            val prefill = relay.server("p", ServerKind.PREFILL) { request, socket ->
+            val prefill = relay.prefillServer("p") { request, socket ->
                 FakeServer.reply(socket, request, "h42")
             }
             val decode = relay.server("d", ServerKind.DECODE) { request, socket ->
@@ -39,7 +39,7 @@
 
         @Test
         fun `an expired KV cache is rebuilt once, after that the decode server reads the prompt itself`() {
-            val prefill = relay.server("p", ServerKind.PREFILL) { request, socket ->
+            val prefill = relay.prefillServer("p") { request, socket ->
                 FakeServer.reply(socket, request, "h42")
             }
             val decode = relay.server("d", ServerKind.DECODE) { request, socket ->
@@ -58,7 +58,7 @@
 
         @Test
         fun `a KV cache rejected by a full decode server is used by another one`() {
-            val prefill = relay.server("p", ServerKind.PREFILL) { request, socket ->
+            val prefill = relay.prefillServer("p") { request, socket ->
                 FakeServer.reply(socket, request, "h42")
             }
             relay.server("d1", ServerKind.DECODE) { request, socket -> FakeServer.reject(socket, request) }
@@ -77,7 +77,7 @@
 
         @Test
         fun `a reservation that conflicts with earlier load of another VM is moved`() {
-            relay.server("p", ServerKind.PREFILL) { request, socket -> FakeServer.reply(socket, request, "h42") }
+            relay.prefillServer("p") { request, socket -> FakeServer.reply(socket, request, "h42") }
             val first = relay.server("d1", ServerKind.DECODE) { request, socket ->
                 FakeServer.stream(
                     socket,
@@ -112,7 +112,7 @@
 
         @Test
         fun `the decode server reads the prompt after the prefill server has failed`() {
-            relay.server("p", ServerKind.PREFILL) { _, _ -> false }
+            relay.prefillServer("p") { _, _ -> false }
             relay.server("d", ServerKind.DECODE) { request, socket -> FakeServer.stream(socket, request, 1..2) }
             assertEquals(listOf("1", "2"), events(relay.get("/stream/1")))
         }
@@ -120,7 +120,7 @@
         @Test
         fun `a KV cache that is no longer needed is released`() {
             val freed = java.util.concurrent.CountDownLatch(1)
-            relay.server("p", ServerKind.PREFILL) { request, socket ->
+            relay.prefillServer("p") { request, socket ->
                 if (request.target.startsWith("/cache/")) freed.countDown()
                 FakeServer.reply(socket, request, "h42")
             }
