Show that a partial cut multiplies the permits of a limited server

A VM that does not reach the issuer asks the next control VM, which issues permits at the full rate as well. Ruled out: the detection time of a cut, since the test waits 4 s after it.

--- a/gentiandale-fleet/src/test/kotlin/gentiandale/fleet/LimitPropagationTest.kt
+++ b/gentiandale-fleet/src/test/kotlin/gentiandale/fleet/LimitPropagationTest.kt
@@ -1,6 +1,7 @@
 package gentiandale.fleet
 
 import gentiandale.core.Incarnation
+import gentiandale.core.VmId
 import gentiandale.core.backend.LimitStatement
 import org.junit.jupiter.api.Nested
 import kotlin.test.Test
@@ -73,6 +74,41 @@
         }
     }
 
+    @Nested
+    inner class PartialCuts {
+        /** Lets all VMs ask for 10 s while the links between [cuts] are cut; returns the permits of each. */
+        private fun issuedWithout(vararg cuts: Pair<VmId, VmId>): List<Int> {
+            advance(2_000)
+            cuts.forEach { cut += setOf(it.first, it.second) }
+            advance(4_000)
+            entries.forEach { it.permits = 0 }
+            repeat(10_000 / ASK_INTERVAL_MS.toInt()) {
+                entries.forEach { it.subscriber.requestPermits(limit(4.0), 4) }
+                advance(ASK_INTERVAL_MS)
+            }
+            return entries.map { it.permits }
+        }
+
+        private fun assertShared(issued: List<Int>) {
+            assertTrue(issued.sum() in 36..43, "$issued permits in 10 s")
+            assertTrue(issued.all { it >= 10 }, "$issued permits in 10 s")
+        }
+
+        @Test
+        fun `a VM that does not reach the issuer gets its permits through another control VM`() =
+            assertShared(issuedWithout(entries[0].id to controls[0]))
+
+        @Test
+        fun `VMs that reach different control VMs get permits of one issuer, also by several of them`() = assertShared(
+            issuedWithout(
+                entries[0].id to controls[0],
+                entries[1].id to controls[0],
+                entries[1].id to controls[1],
+                controls[2] to controls[0],
+            ),
+        )
+    }
+
     private companion object {
         const val ASK_INTERVAL_MS = 200L
     }
