Let one control VM issue permits also in partial cuts

Cause: each control VM that is asked issues permits, and entry VMs that are cut off from the lowest one ask another. Now a control VM passes a request on to the lowest one that it reaches, and the permits return over the same VMs; each hop goes to a lower VM. Ruled out: the leader of the voters as issuer, since permits must also be issued without a majority. Conclusion: what is left is a cut that divides the control VMs themselves.

--- a/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/ControlHub.kt
+++ b/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/ControlHub.kt
@@ -132,7 +132,8 @@
             is FleetMessage.Crashes -> onCrashes(from, message.records, now)
             is FleetMessage.Limits -> onLimits(from, message.statements, now)
             is FleetMessage.PermitRequest -> onPermitRequest(from, message, now)
-            is FleetMessage.Notice, is FleetMessage.PeerLoad, is FleetMessage.Pause, is FleetMessage.Permits -> Unit
+            is FleetMessage.Permits -> passOn(message)
+            is FleetMessage.Notice, is FleetMessage.PeerLoad, is FleetMessage.Pause -> Unit
         }
     }
 
@@ -211,16 +212,35 @@
         entries.keys.filter { it != from }.forEach { sender.send(it, message) }
     }
 
+    /**
+     * Issues permits, or passes the request on. The lowest control VM issues them for all, and a VM that doesn't reach
+     * it asks another one; each hop is to a lower VM, so that no request goes round in a circle.
+     */
     private fun onPermitRequest(from: VmId, message: FleetMessage.PermitRequest, now: Long) {
         onLimits(from, listOf(message.limit), now)
-        permits.request(from, message.limit, message.wanted, now)
-        val isGranted = sendPermits().any { it.vm == from && it.server == message.limit.server }
-        val denial = FleetMessage.Permits(message.limit.server, message.limit.incarnation, 0, PermitIssuer.VALIDITY_MS)
-        if (!isGranted) sender.send(from, denial)
+        val route = message.via + from
+        val issuer = controlVms.reachable(now).minOrNull()
+        if (issuer != null && issuer < self) return sender.send(issuer, message.copy(via = route))
+        permits.request(route, message.limit, message.wanted, now)
+        val isGranted = sendPermits().any { it.vm == route.first() && it.server == message.limit.server }
+        if (!isGranted) sendPermits(IssuedPermits(route, message.limit.server, message.limit.incarnation, 0))
     }
 
-    private fun sendPermits(): List<IssuedPermits> = permits.issue(clock.monotonicMs()).onEach {
-        sender.send(it.vm, FleetMessage.Permits(it.server, it.incarnation, it.count, PermitIssuer.VALIDITY_MS))
+    private fun sendPermits(): List<IssuedPermits> = permits.issue(clock.monotonicMs()).onEach(::sendPermits)
+
+    private fun sendPermits(issued: IssuedPermits) = passOn(
+        FleetMessage.Permits(
+            issued.server,
+            issued.incarnation,
+            issued.count,
+            PermitIssuer.VALIDITY_MS,
+            via = issued.route,
+        ),
+    )
+
+    private fun passOn(permits: FleetMessage.Permits) {
+        val next = permits.via.lastOrNull() ?: return
+        sender.send(next, permits.copy(via = permits.via.dropLast(1)))
     }
 
     private fun onGossip(from: VmId, message: FleetMessage.Gossip, now: Long) {
--- a/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/FleetMessage.kt
+++ b/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/FleetMessage.kt
@@ -102,15 +102,25 @@
     @SerialName("m")
     public data class Limits(val statements: List<LimitStatement>) : FleetMessage
 
-    /** Requests of the sending entry VM need [wanted] permits for the server of [limit]. */
+    /**
+     * Requests of an entry VM need [wanted] permits for the server of [limit].
+     *
+     * @param via the entry VM and the control VMs that have passed the message on, without the sender; empty if the
+     *   sender is the entry VM.
+     */
     @Serializable
     @SerialName("w")
-    public data class PermitRequest(val limit: LimitStatement, val wanted: Int) : FleetMessage
+    public data class PermitRequest(
+        val limit: LimitStatement,
+        val wanted: Int,
+        val via: List<VmId> = emptyList(),
+    ) : FleetMessage
 
     /**
      * Permits for [count] requests to the [incarnation] of [server]; 0 if there are none at the moment.
      *
      * @param validMs time in milliseconds from the receipt after which the permits must not be used.
+     * @param via VMs to which the receiver passes the message on, the next one last; empty if they are its own.
      */
     @Serializable
     @SerialName("t")
@@ -119,6 +129,7 @@
         val incarnation: Incarnation,
         val count: Int,
         val validMs: Long,
+        val via: List<VmId> = emptyList(),
     ) : FleetMessage
 
     /** The engine [server] does not answer the sending entry VM. */
--- a/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/PermitIssuer.kt
+++ b/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/PermitIssuer.kt
@@ -5,8 +5,20 @@
 import gentiandale.core.VmId
 import gentiandale.core.backend.LimitStatement
 
-/** Permits issued to the entry VM [vm] for [count] requests to the [incarnation] of [server]. */
-internal data class IssuedPermits(val vm: VmId, val server: ServerId, val incarnation: Incarnation, val count: Int)
+/**
+ * Permits issued for [count] requests to the [incarnation] of [server].
+ *
+ * @param route the entry VM that gets them, and the control VMs that have passed its request on.
+ */
+internal data class IssuedPermits(
+    val route: List<VmId>,
+    val server: ServerId,
+    val incarnation: Incarnation,
+    val count: Int,
+) {
+    /** Entry VM that gets them. */
+    val vm: VmId get() = route.first()
+}
 
 /**
  * Issues the permits for requests to servers that have named a limit, at the rate of that limit for all entry VMs
@@ -14,7 +26,7 @@
  * its share over time. Answers the load under which a server asks for fewer requests than it gets.
  */
 internal class PermitIssuer {
-    private class Request(val wanted: Int, val askedMs: Long)
+    private class Request(val route: List<VmId>, val wanted: Int, val askedMs: Long)
 
     private class Bucket(val incarnation: Incarnation, var refilledMs: Long) {
         var perSecond = 0.0
@@ -32,8 +44,11 @@
 
     private val buckets = HashMap<ServerId, Bucket>()
 
-    /** Records at [nowMs] that [vm] wants [wanted] permits under [limit]; a later request of it replaces this one. */
-    fun request(vm: VmId, limit: LimitStatement, wanted: Int, nowMs: Long) {
+    /**
+     * Records at [nowMs] that an entry VM, the first of [route], wants [wanted] permits under [limit]. A later request
+     * of it replaces this one.
+     */
+    fun request(route: List<VmId>, limit: LimitStatement, wanted: Int, nowMs: Long) {
         val perSecond = limit.perSecond ?: return
         val known = buckets[limit.server]
         if (known != null && known.incarnation > limit.incarnation) return
@@ -41,7 +56,7 @@
             ?: Bucket(limit.incarnation, nowMs).also { buckets[limit.server] = it }
         bucket.refill(nowMs)
         bucket.perSecond = perSecond.coerceAtLeast(MIN_PER_SECOND)
-        bucket.requests[vm] = Request(wanted.coerceIn(1, MAX_WANTED), nowMs)
+        bucket.requests[route.first()] = Request(route, wanted.coerceIn(1, MAX_WANTED), nowMs)
     }
 
     /** Returns the permits that are due at [nowMs]. */
@@ -61,7 +76,7 @@
             val count = minOf(share, request.wanted)
             bucket.requests -= vm
             bucket.tokens -= count
-            issued += IssuedPermits(vm, server, bucket.incarnation, count)
+            issued += IssuedPermits(request.route, server, bucket.incarnation, count)
         }
         return issued
     }
--- a/gentiandale-fleet/src/test/kotlin/gentiandale/fleet/PermitIssuerTest.kt
+++ b/gentiandale-fleet/src/test/kotlin/gentiandale/fleet/PermitIssuerTest.kt
@@ -20,7 +20,7 @@
     private fun run(asking: List<VmId>, perSecond: Double, untilMs: Long, fromMs: Long = 0): Map<VmId, List<Long>> {
         val issued = HashMap<VmId, ArrayList<Long>>()
         for (now in fromMs until untilMs step 10) {
-            if (now % 200 == 0L) asking.forEach { issuer.request(it, limit(perSecond), 16, now) }
+            if (now % 200 == 0L) asking.forEach { issuer.request(listOf(it), limit(perSecond), 16, now) }
             issuer.issue(now).forEach { permits ->
                 repeat(permits.count) { issued.getOrPut(permits.vm) { ArrayList() } += now }
             }
@@ -73,8 +73,8 @@
 
         @Test
         fun `a request that is not repeated gets nothing later`() {
-            issuer.request(vms[0], limit(1.0), 1, 0)
-            issuer.request(vms[1], limit(1.0), 1, 0)
+            issuer.request(listOf(vms[0]), limit(1.0), 1, 0)
+            issuer.request(listOf(vms[1]), limit(1.0), 1, 0)
             assertEquals(listOf(vms[0]), issuer.issue(0).map { it.vm })
             assertEquals(emptyList(), issuer.issue(1_000))
         }
@@ -84,8 +84,8 @@
     inner class Restarts {
         @Test
         fun `a request under the limit of an earlier process of the server gets nothing`() {
-            issuer.request(vms[0], limit(4.0, incarnation = 2), 1, 0)
-            issuer.request(vms[1], limit(9.0, incarnation = 1), 1, 0)
+            issuer.request(listOf(vms[0]), limit(4.0, incarnation = 2), 1, 0)
+            issuer.request(listOf(vms[1]), limit(9.0, incarnation = 1), 1, 0)
             assertEquals(listOf(vms[0]), issuer.issue(0).map { it.vm })
         }
     }
