Check the server in the daemon before an answer without a length is whole

Now the server must take a new connection after such an end, unless it has left the list of those that take work. Ruled out: completions, whose streams need a final event, and prefills, whose answers are JSON. Conclusion: this class of fault is closed as far as the end of a process shows it.

--- a/gentiandale-daemon/src/main/kotlin/gentiandale/daemon/claim/PlainCallRunner.kt
+++ b/gentiandale-daemon/src/main/kotlin/gentiandale/daemon/claim/PlainCallRunner.kt
@@ -110,7 +110,11 @@
                 call.service,
                 server.server,
             )
-            last = chooser.trackRunning(server.server) { sender.send(call, server.address, remainingMs) }
+            last = chooser.trackRunning(server.server) {
+                sender.send(call, server.address, remainingMs) {
+                    chooser.serversOf(call.service).none { it.server == server.server }
+                }
+            }
             when (last) {
                 is SendOutcome.Answered -> return last
                 is SendOutcome.Unknown -> if (retryUnknown) mayHaveRun = true else return last
--- a/gentiandale-daemon/src/main/kotlin/gentiandale/daemon/claim/PlainSender.kt
+++ b/gentiandale-daemon/src/main/kotlin/gentiandale/daemon/claim/PlainSender.kt
@@ -1,6 +1,8 @@
 package gentiandale.daemon.claim
 
 import com.linecorp.armeria.client.ClientFactory
+import com.linecorp.armeria.client.ClientRequestContext
+import com.linecorp.armeria.client.Clients
 import com.linecorp.armeria.client.UnprocessedRequestException
 import com.linecorp.armeria.client.WebClient
 import com.linecorp.armeria.common.AggregatedHttpResponse
@@ -8,9 +10,16 @@
 import com.linecorp.armeria.common.RequestHeaders
 import gentiandale.core.Address
 import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.future.await
+import kotlinx.coroutines.withContext
 import kotlinx.coroutines.withTimeoutOrNull
+import org.slf4j.LoggerFactory
+import java.io.IOException
 import java.net.ConnectException
+import java.net.InetSocketAddress
+import java.net.Socket
 import java.time.Duration
 
 /** Outcome of one attempt to send a call to a server. */
@@ -27,6 +36,7 @@
 
 /** Sends calls to plain services over HTTP/1.1, each at most once. */
 internal class PlainSender : AutoCloseable {
+    private val log = LoggerFactory.getLogger("gentiandale.route")
     private val factory = ClientFactory.builder().connectTimeout(Duration.ofMillis(CONNECT_TIMEOUT_MS)).build()
     private val client = WebClient.builder()
         .factory(factory)
@@ -35,12 +45,25 @@
         .decorator(ResetFilter.DECORATOR)
         .build()
 
-    /** Sends [call] to [server] and waits at most [timeoutMs] milliseconds for the response. */
-    suspend fun send(call: PlainCall, server: Address, timeoutMs: Long): SendOutcome {
-        val response = client.execute(HttpRequest.of(headersFor(call, server), call.body))
+    /**
+     * Sends [call] to [server] and waits at most [timeoutMs] milliseconds for the response.
+     *
+     * @param isLeaving returns whether the server has said that it leaves, after which its process ends in order.
+     */
+    suspend fun send(
+        call: PlainCall,
+        server: Address,
+        timeoutMs: Long,
+        isLeaving: () -> Boolean = { false },
+    ): SendOutcome {
+        val captor = Clients.newContextCaptor()
+        val response = captor.use { client.execute(HttpRequest.of(headersFor(call, server), call.body)) }
         return try {
-            withTimeoutOrNull(timeoutMs) { SendOutcome.Answered(response.aggregate().await()) }
-                ?: SendOutcome.Unknown("no response within $timeoutMs ms")
+            withTimeoutOrNull(timeoutMs) {
+                val answer = response.aggregate().await()
+                val isCut = isUnframed(captor.get()) && refusesConnections(server) && !isLeaving()
+                if (isCut) SendOutcome.Unknown(CUT) else SendOutcome.Answered(answer)
+            } ?: SendOutcome.Unknown("no response within $timeoutMs ms")
         } catch (e: CancellationException) {
             throw e
         } catch (e: Exception) {
@@ -55,6 +78,26 @@
         factory.close()
     }
 
+    private fun isUnframed(context: ClientRequestContext): Boolean =
+        context.log().partial().channel()?.let(ResetFilter::isUnframed) ?: false
+
+    /** Returns whether [server], which has just closed a connection, refuses a new one as its process has ended. */
+    private suspend fun refusesConnections(server: Address): Boolean {
+        delay(CHECK_DELAY_MS)
+        return withContext(Dispatchers.IO) {
+            try {
+                Socket().use { it.connect(InetSocketAddress(server.host, server.port), CHECK_TIMEOUT_MS) }
+                false
+            } catch (e: ConnectException) {
+                log.info("Server {} has closed a connection and refuses new ones: {}.", server, e.message)
+                true
+            } catch (e: IOException) {
+                log.info("Server {} could not be checked after the end of a response: {}.", server, e.message)
+                false
+            }
+        }
+    }
+
     private fun Exception.provesNothingSent() = this is UnprocessedRequestException && cause is ConnectException
 
     private fun headersFor(call: PlainCall, server: Address): RequestHeaders {
@@ -69,6 +112,11 @@
     private companion object {
         const val CONNECT_TIMEOUT_MS = 1_000L
         const val MAX_RESPONSE_BYTES = 16L * 1_048_576
+        const val CUT = "response without a length ended as its server refused connections"
+
+        /** Longer than a process that is killed takes to close its sockets. */
+        const val CHECK_DELAY_MS = 30L
+        const val CHECK_TIMEOUT_MS = 250
 
         val HOP_BY_HOP = setOf(
             "connection",
--- a/gentiandale-daemon/src/main/kotlin/gentiandale/daemon/claim/ResetFilter.kt
+++ b/gentiandale-daemon/src/main/kotlin/gentiandale/daemon/claim/ResetFilter.kt
@@ -6,13 +6,18 @@
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.handler.codec.http.HttpClientCodec
+import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.LastHttpContent
+import io.netty.util.AttributeKey
 import io.netty.util.ReferenceCountUtil
 import java.io.IOException
 
 /**
- * Drops the end of a response whose connection was reset. The HTTP decoder reports the end of any connection as the end
- * of a body without length or chunks, so that a part of a response would pass for the whole.
+ * Drops the end of a response whose connection was reset, and marks channels whose last response had no end of its own.
+ * The HTTP decoder reports the end of any connection as the end of a body without length or chunks, so that a part of a
+ * response would pass for the whole.
  */
 internal class ResetFilter : ChannelInboundHandlerAdapter() {
     private var isReset = false
@@ -23,10 +28,21 @@
     }
 
     override fun channelRead(ctx: ChannelHandlerContext, message: Any) {
+        if (message is HttpResponse) ctx.channel().attr(UNFRAMED).set(isUnframed(message))
         if (isReset && message is LastHttpContent) ReferenceCountUtil.release(message) else ctx.fireChannelRead(message)
     }
 
+    private fun isUnframed(head: HttpResponse) = head.status() !in WITHOUT_BODY &&
+        !HttpUtil.isContentLengthSet(head) &&
+        !HttpUtil.isTransferEncodingChunked(head)
+
     companion object {
+        private val WITHOUT_BODY = setOf(HttpResponseStatus.NO_CONTENT, HttpResponseStatus.NOT_MODIFIED)
+        private val UNFRAMED = AttributeKey.valueOf<Boolean>(ResetFilter::class.java, "unframed")
+
+        /** Returns whether only the end of [channel] marks the end of its last response. */
+        fun isUnframed(channel: Channel): Boolean = channel.attr(UNFRAMED).get() ?: false
+
         /** Adds the filter to each connection that a client uses. */
         val DECORATOR = DecoratingHttpClientFunction { delegate, ctx, request ->
             ctx.log().whenAvailable(RequestLogProperty.SESSION).thenAccept { log -> log.channel()?.let(::install) }
--- a/gentiandale-daemon/src/test/kotlin/gentiandale/daemon/claim/PlainSenderTest.kt
+++ b/gentiandale-daemon/src/test/kotlin/gentiandale/daemon/claim/PlainSenderTest.kt
@@ -18,6 +18,9 @@
     private val sender = PlainSender()
     private val listening = ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))
 
+    private val port = listening.localPort
+    private var isLeaving = false
+
     @AfterEach
     fun close() {
         sender.close()
@@ -36,7 +39,7 @@
         }
         val headers = RequestHeaders.of(HttpMethod.POST, "/order")
         val call = PlainCall("orders", HttpMethod.POST, "/order", headers, HttpData.ofUtf8("x"), "caller", TIMEOUT_MS)
-        return runBlocking { sender.send(call, Address("127.0.0.1", listening.localPort), TIMEOUT_MS) }
+        return runBlocking { sender.send(call, Address("127.0.0.1", port), TIMEOUT_MS) { isLeaving } }
     }
 
     @Test
@@ -55,6 +58,22 @@
         assertEquals("whole", outcome.response.contentUtf8())
     }
 
+    @Test
+    fun `an answer without length that ends with its server's process is unknown`() {
+        assertIs<SendOutcome.Unknown>(send("HTTP/1.1 200 OK\r\n\r\npart") { listening.close() })
+    }
+
+    @Test
+    fun `an answer without length of a server that leaves is complete at the end of its process`() {
+        isLeaving = true
+        assertIs<SendOutcome.Answered>(send("HTTP/1.1 200 OK\r\n\r\nwhole") { listening.close() })
+    }
+
+    @Test
+    fun `an answer with its length is complete at the end of the server's process`() {
+        assertIs<SendOutcome.Answered>(send("HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwhole") { listening.close() })
+    }
+
     private companion object {
         const val REQUEST_BYTES = 4_096
         const val TIMEOUT_MS = 3_000L
