Show that a server which has deregistered is used again after a restart of all processes

The tombstone of a server that has left is kept in memory only. After all processes were killed right after the deregistration was acknowledged, a heartbeat that the server had sent before, and that arrives 5 s late, brings it back, and it gets requests up to 14 s after the acknowledgement.

Requests count only from 6 s after the restart, when all machines are in touch.

--- a/review/harness/src/review/Case.java
+++ b/review/harness/src/review/Case.java
@@ -21,7 +21,7 @@
     public static void main(String[] arguments) {
         Case chosen = switch (arguments[0]) {
             case "late-copy-of-rejection" -> new LateCopyOfRejection();
-            case "request-at-exit" -> new RequestAtExit();
+            case "departed-server-returns" -> new DepartedServerReturns();
             case "invalid-literal" -> new InvalidLiteral();
             default -> throw new IllegalArgumentException(arguments[0]);
         };
--- a/review/harness/src/review/PlainServer.java
+++ b/review/harness/src/review/PlainServer.java
@@ -35,6 +35,7 @@
     private final AtomicLong sequence = new AtomicLong();
     private final Semaphore slots = new Semaphore(SLOTS);
     private final AtomicInteger present = new AtomicInteger();
+    private volatile boolean isLeaving;
 
     /** Runs by request id: a run begins when the server starts to work on the request. */
     final Map<String, AtomicInteger> runs;
@@ -48,6 +49,9 @@
     final AtomicInteger lateCopies = new AtomicInteger();
     final AtomicInteger answers = new AtomicInteger();
 
+    /** Runs of this server, repeated ones included. */
+    final AtomicInteger ran = new AtomicInteger();
+
     PlainServer(
         Fleet fleet, String service, int number, Map<String, AtomicInteger> runs, Supplier<Integer> workMs, long seed
     ) {
@@ -74,14 +78,8 @@
     }
 
     private void sendHeartbeats() throws Exception {
-        for (int node = Math.floorMod(id.hashCode(), fleet.cores.size()); true; ) {
-            String body = """
-                {"service":"%s","address":"%s","zone":"zone-a","version":"v1","slots":%d,"state":"ready",\
-                "cold_remaining_ms":0,"sequence":%d,"born":%d}""".formatted(
-                    service, address, SLOTS, sequence.incrementAndGet(), born);
-            Http.Message answer =
-                fleet.call(fleet.cores.get(node), "POST", "/instances/" + id + "/heartbeat", body);
-            if (answer != null && answer.status() / 100 == 2) {
+        for (int node = Math.floorMod(id.hashCode(), fleet.cores.size()); !isLeaving; ) {
+            if (sendHeartbeat(fleet.cores.get(node), nextHeartbeat())) {
                 Thread.sleep(1_200);
             } else {
                 node = (node + 1) % fleet.cores.size();
@@ -90,6 +88,28 @@
         }
     }
 
+    /** Returns the body of the next heartbeat. */
+    String nextHeartbeat() {
+        return """
+            {"service":"%s","address":"%s","zone":"zone-a","version":"v1","slots":%d,"state":"ready",\
+            "cold_remaining_ms":0,"sequence":%d,"born":%d}""".formatted(
+                service, address, SLOTS, sequence.incrementAndGet(), born);
+    }
+
+    /** Sends a heartbeat to [node] and returns whether it is acknowledged. */
+    boolean sendHeartbeat(Fleet.Vm node, String body) {
+        Http.Message answer = fleet.call(node, "POST", "/instances/" + id + "/heartbeat", body);
+        return answer != null && answer.status() / 100 == 2;
+    }
+
+    /** Deregisters without having reported that it drains, and sends no more heartbeats. It still serves. */
+    boolean deregister(Fleet.Vm node) {
+        isLeaving = true;
+        Http.Message answer =
+            fleet.call(node, "POST", "/instances/" + id + "/deregister", "{\"born\":" + born + "}");
+        return answer != null && answer.status() / 100 == 2;
+    }
+
     private void serve(Socket socket) throws Exception {
         byte[] lateCopy = null;
         try (socket) {
@@ -130,6 +150,7 @@
         slots.acquire();
         try {
             int count = runs.computeIfAbsent(requestId, key -> new AtomicInteger()).incrementAndGet();
+            ran.incrementAndGet();
             record.line(id + " runs " + requestId + (count > 1 ? ", run " + count : ""));
             Thread.sleep(workMs.get());
             record.line(id + " has run " + requestId);
