Show that a heartbeat with a missing field makes a server's draining be ignored

A heartbeat of another writer that lacks a field takes over the row of a live server. The server's own heartbeats are then older than the row: they are acknowledged and dropped, and so is the one that reports that it drains.

No process, link or disk is disturbed.

--- a/review/harness/src/review/Case.java
+++ b/review/harness/src/review/Case.java
@@ -22,6 +22,7 @@
         Case chosen = switch (arguments[0]) {
             case "late-copy-of-rejection" -> new LateCopyOfRejection();
             case "departed-server-returns" -> new DepartedServerReturns();
+            case "foreign-heartbeat" -> new ForeignHeartbeat();
             case "invalid-literal" -> new InvalidLiteral();
             default -> throw new IllegalArgumentException(arguments[0]);
         };
--- a/review/harness/src/review/DepartedServerReturns.java
+++ b/review/harness/src/review/DepartedServerReturns.java
@@ -1,15 +1,11 @@
 package review;
 
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.ExecutorService;
-import java.util.concurrent.Executors;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
@@ -19,9 +15,6 @@
  */
 final class DepartedServerReturns extends Case {
     private static final int SERVERS = 4;
-    private static final double UNSAFE_PER_S = 33.7;
-    private static final double SAFE_PER_S = 13.5;
-    private static final long DEADLINE_MS = 600;
     private static final long KILL_AFTER_MS = 50;
     private static final long DOWN_MS = 700;
     private static final long DRAIN_MS = 2_000;
@@ -46,30 +39,12 @@
             for (PlainServer server : servers) server.start();
             fleet.awaitReady(40_000);
             Thread.sleep(3_000);
-            PlainServer.daemon(() -> sendRequests(fleet, record, random));
+            new Traffic(fleet, seed).start();
             Thread.sleep(3_000);
             return leave(fleet, record, servers.get(SERVERS - 1));
         }
     }
 
-    private void sendRequests(Fleet fleet, Record record, Random random) throws Exception {
-        Caller caller = new Caller(record, "q");
-        ExecutorService clients = Executors.newCachedThreadPool(job -> {
-            Thread thread = new Thread(job);
-            thread.setDaemon(true);
-            return thread;
-        });
-        while (true) {
-            Thread.sleep((long) (-Math.log(1 - random.nextDouble()) * 1_000 / (UNSAFE_PER_S + SAFE_PER_S)));
-            boolean unsafe = random.nextDouble() < UNSAFE_PER_S / (UNSAFE_PER_S + SAFE_PER_S);
-            Fleet.Vm front = fleet.fronts.get(random.nextInt(fleet.fronts.size()));
-            clients.submit(() -> unsafe
-                ? caller.send(front.front(), false, "POST", Configurations.BOOK + "1",
-                    "book a pitch".repeat(50).getBytes(StandardCharsets.UTF_8), DEADLINE_MS)
-                : caller.send(front.front(), false, "GET", Configurations.LOOK + "1", new byte[0], DEADLINE_MS));
-        }
-    }
-
     private boolean leave(Fleet fleet, Record record, PlainServer server) throws Exception {
         Fleet.Vm control = fleet.cores.get(0);
         String lateHeartbeat = server.nextHeartbeat();
--- a/review/harness/src/review/LateCopyOfRejection.java
+++ b/review/harness/src/review/LateCopyOfRejection.java
@@ -1,15 +1,11 @@
 package review;
 
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.ExecutorService;
-import java.util.concurrent.Executors;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
@@ -20,9 +16,6 @@
     private static final int WINDOWS = 6;
     private static final long WINDOW_MS = 5_000;
     private static final long PAUSE_MS = 2_000;
-    private static final double UNSAFE_PER_S = 33.7;
-    private static final double SAFE_PER_S = 13.5;
-    private static final long DEADLINE_MS = 600;
 
     /** At most those of the site file: srv_grey share 0.14, x 0.45; garble "extra late" share 0.6, x 0.03. */
     private static final int SERVERS = 4;
@@ -34,7 +27,7 @@
     @Override
     boolean play(Path root, Record record) throws Exception {
         Map<String, AtomicInteger> runs = new ConcurrentHashMap<>();
-        Map<String, Integer> statuses = new ConcurrentHashMap<>();
+        Map<String, Integer> statuses;
         Random random = new Random(seed);
         try (Fleet fleet = new Fleet(root, record, 3, List.of("zone-a", "zone-b"))) {
             fleet.start(Configurations.plain(1));
@@ -45,25 +38,10 @@
             for (PlainServer server : servers) server.start();
             fleet.awaitReady(40_000);
             Thread.sleep(3_000);
-            Caller caller = new Caller(record, "q");
-            ExecutorService clients = Executors.newCachedThreadPool();
-            long endMs = record.nowMs() + WINDOWS * (WINDOW_MS + PAUSE_MS);
+            Traffic traffic = new Traffic(fleet, seed);
             PlainServer.daemon(() -> disrupt(servers, record));
-            while (record.nowMs() < endMs) {
-                Thread.sleep((long) (-Math.log(1 - random.nextDouble()) * 1_000 / (UNSAFE_PER_S + SAFE_PER_S)));
-                boolean unsafe = random.nextDouble() < UNSAFE_PER_S / (UNSAFE_PER_S + SAFE_PER_S);
-                Fleet.Vm front = fleet.fronts.get(random.nextInt(fleet.fronts.size()));
-                clients.submit(() -> {
-                    Caller.Answer answer = unsafe
-                        ? caller.send(front.front(), false, "POST", Configurations.BOOK + "1",
-                            "book a pitch".repeat(50).getBytes(StandardCharsets.UTF_8), DEADLINE_MS)
-                        : caller.send(front.front(), false, "GET", Configurations.LOOK + "1", new byte[0], DEADLINE_MS);
-                    if (unsafe) statuses.put(answer.requestId(), answer.status());
-                });
-            }
-            clients.shutdown();
-            clients.awaitTermination(5, TimeUnit.SECONDS);
-            Thread.sleep(1_000);
+            traffic.sendUntil(record.nowMs() + WINDOWS * (WINDOW_MS + PAUSE_MS));
+            statuses = traffic.unsafeStatuses;
             servers.forEach(server -> record.say(server.id + ": " + server.answers + " answers, "
                 + server.lateCopies + " late copies"));
         }
--- a/review/harness/src/review/PlainServer.java
+++ b/review/harness/src/review/PlainServer.java
@@ -36,6 +36,7 @@
     private final Semaphore slots = new Semaphore(SLOTS);
     private final AtomicInteger present = new AtomicInteger();
     private volatile boolean isLeaving;
+    private volatile String state = "ready";
 
     /** Runs by request id: a run begins when the server starts to work on the request. */
     final Map<String, AtomicInteger> runs;
@@ -91,9 +92,22 @@
     /** Returns the body of the next heartbeat. */
     String nextHeartbeat() {
         return """
-            {"service":"%s","address":"%s","zone":"zone-a","version":"v1","slots":%d,"state":"ready",\
+            {"service":"%s","address":"%s","zone":"zone-a","version":"v1","slots":%d,"state":"%s",\
             "cold_remaining_ms":0,"sequence":%d,"born":%d}""".formatted(
-                service, address, SLOTS, sequence.incrementAndGet(), born);
+                service, address, SLOTS, state, sequence.incrementAndGet(), born);
+    }
+
+    /** Returns a heartbeat of another writer for this server: with a start and a count of its own, and a field missing. */
+    String foreignHeartbeat() {
+        return """
+            {"service":"%s","address":"%s","zone":"zone-a","version":"v1","slots":%d,"state":"ready",\
+            "sequence":1,"born":%d}""".formatted(service, address, SLOTS, System.currentTimeMillis());
+    }
+
+    /** Reports from now on that the server drains; returns whether [node] has acknowledged the first report. */
+    boolean drain(Fleet.Vm node) {
+        state = "draining";
+        return sendHeartbeat(node, nextHeartbeat());
     }
 
     /** Sends a heartbeat to [node] and returns whether it is acknowledged. */
