--- a/review/harness/src/review/Case.java
+++ b/review/harness/src/review/Case.java
@@ -23,6 +23,7 @@
             case "late-copy-of-rejection" -> new LateCopyOfRejection();
             case "departed-server-returns" -> new DepartedServerReturns();
             case "foreign-heartbeat" -> new ForeignHeartbeat();
+            case "fraction-in-settings" -> new FractionInSettings();
             case "invalid-literal" -> new InvalidLiteral();
             default -> throw new IllegalArgumentException(arguments[0]);
         };
--- a/review/harness/src/review/Fleet.java
+++ b/review/harness/src/review/Fleet.java
@@ -60,9 +60,15 @@
             return process != null && process.isAlive();
         }
 
-        void start() throws IOException {
+        /** Writes the settings file anew, as the platform does at each start and when settings change. */
+        Path writeSettings() throws IOException {
             Path settings = folder.resolve(name + ".yaml");
             Files.writeString(settings, Template.render(template, fields(this)));
+            return settings;
+        }
+
+        void start() throws IOException {
+            Path settings = writeSettings();
             isFirstStart = false;
             ProcessBuilder builder = new ProcessBuilder(isCore ? coreCommand : frontCommand);
             builder.directory(root.toFile());
@@ -109,6 +115,10 @@
     private final int peerPort;
     final int serverPort;
 
+    /** Values of the bounds in the settings of processes that are started from now on. */
+    final Map<String, Object> bounds = new HashMap<>(Map.of(
+        "grace_s", 8, "lease_ms", 3000, "retry_budget_ratio", 0.2, "budget_min_retries", 54, "budget_window_s", 10));
+
     /** Creates a fleet with [coreCount] control VMs, each in a zone of its own, and front VMs in the zones [frontZones]. */
     Fleet(Path root, Record record, int coreCount, List<String> frontZones) throws IOException {
         this.root = root;
@@ -226,8 +236,7 @@
         fields.put("listen", listen);
         if (vm.isCore) fields.put("data_dir", folder.resolve(vm.name + "-data"));
         fields.put("fault_tolerance", Map.of("machines", 1, "zones", 1));
-        fields.put("bounds", Map.of(
-            "grace_s", 8, "lease_ms", 3000, "retry_budget_ratio", 0.2, "budget_min_retries", 54, "budget_window_s", 10));
+        fields.put("bounds", bounds);
         return fields;
     }
 
