--- a/review/harness/src/review/Case.java
+++ b/review/harness/src/review/Case.java
@@ -24,6 +24,7 @@
             case "departed-server-returns" -> new DepartedServerReturns();
             case "foreign-heartbeat" -> new ForeignHeartbeat();
             case "fraction-in-settings" -> new FractionInSettings();
+            case "departure-lost" -> new DepartureLost();
             case "invalid-literal" -> new InvalidLiteral();
             default -> throw new IllegalArgumentException(arguments[0]);
         };
--- a/review/harness/src/review/PlainServer.java
+++ b/review/harness/src/review/PlainServer.java
@@ -124,6 +124,22 @@
         return answer != null && answer.status() / 100 == 2;
     }
 
+    /** Deregisters at [node] and calls [then] as soon as the first bytes of the acknowledgement are there. */
+    void deregisterAnd(Fleet.Vm node, Runnable then) throws IOException {
+        isLeaving = true;
+        byte[] body = ("{\"born\":" + born + "}").getBytes(StandardCharsets.UTF_8);
+        try (Socket socket = new Socket()) {
+            socket.setTcpNoDelay(true);
+            socket.connect(node.control(), 1_000);
+            byte[] bytes = Http.bytes("POST /instances/" + id + "/deregister HTTP/1.1", body, "Host", node.ip);
+            socket.getOutputStream().write(bytes);
+            byte[] answer = new byte[12];
+            int count = socket.getInputStream().read(answer);
+            then.run();
+            record.line(id + " got " + new String(answer, 0, count, StandardCharsets.UTF_8));
+        }
+    }
+
     private void serve(Socket socket) throws Exception {
         byte[] lateCopy = null;
         try (socket) {
