Show that a front VM that stops loses requests that it has just accepted

The process looks for requests for the last time 200 ms before it ends, keeps its listening socket open meanwhile, and halts. Where fewer than half of a zone's front VMs are in rotation, the platform sends new connections to stopping ones.

Ruled out: requests that were not read are not counted, and no server breaks off. In a run with logs the request was placed 5 ms before the log line of the end.

--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,4 +1,4 @@
 #!/usr/bin/env bash
 # Exit status: 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. TROUBLE=0: without the disruption.
 folder="$(cd "$(dirname "$0")" && pwd)" || exit 2
-exec "$folder/../harness/run-case.sh" fraction-in-settings "$folder"
+exec "$folder/../harness/run-case.sh" request-at-exit "$folder"
--- a/review/harness/src/review/Case.java
+++ b/review/harness/src/review/Case.java
@@ -25,6 +25,7 @@
             case "foreign-heartbeat" -> new ForeignHeartbeat();
             case "fraction-in-settings" -> new FractionInSettings();
             case "departure-lost" -> new DepartureLost();
+            case "request-at-exit" -> new RequestAtExit();
             case "invalid-literal" -> new InvalidLiteral();
             default -> throw new IllegalArgumentException(arguments[0]);
         };
