--- a/review/harness/run-case.sh
+++ b/review/harness/run-case.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# run-case.sh NAME FOLDER: plays a case. Exit status: 1 if the rule was broken, 0 if it held, 2 if it couldn't run.
+# run-case.sh NAME RECORD: plays a case and writes its record. Exit status: 1 if the rule was broken, 0 if it held, 2 if it couldn't run.
 root="$(cd "$(dirname "$0")/../.." && pwd)"
 cd "$root" || exit 2
 java -Xmx256m -cp review/target/classes review.Case "$1" "$root" "$2"
--- a/review/harness/src/review/Case.java
+++ b/review/harness/src/review/Case.java
@@ -17,7 +17,7 @@
     /** Plays the case and returns whether the rule was broken. */
     abstract boolean play(Path root, Record record) throws Exception;
 
-    /** Runs the case named by the first argument, in the repository and with the folder of the case that follow. */
+    /** Runs the case named by the first argument, in the repository and with the file of the record that follow. */
     public static void main(String[] arguments) {
         Case chosen = switch (arguments[0]) {
             case "late-copy-of-rejection" -> new LateCopyOfRejection();
@@ -37,8 +37,8 @@
         System.exit(chosen.run(Path.of(arguments[1]), Path.of(arguments[2])));
     }
 
-    private int run(Path root, Path folder) {
-        try (Record record = new Record(folder.resolve("record.txt"))) {
+    private int run(Path root, Path recordFile) {
+        try (Record record = new Record(recordFile)) {
             record.say("trouble " + (trouble ? "on" : "off") + ", seed " + seed);
             try {
                 boolean broken = play(root, record);
