Complete the last requests of a process that stops

Cause: the process took itself for idle, closed idle connections, slept 200 ms to flush and halted, with its listening socket open. Requests of these 200 ms were passed on, and nobody waited for them. Whether a request was running was polled each 50 ms, so that short calls went unseen and a VM with traffic counted as idle.

Ruled out: the end of the grace time (the VM ended 3.9 s after the signal, of 8 s) and the servers, whose answers were written.

The shutdown now stops listening first, closes the connections on which no request is arriving, and ends when the last connection has been answered and closed.

Before: PlatformProcessesTest, "a request sent while a stopping entry VM closes its last connections is answered or not passed on" fails with "a server got the request, the caller ''". After: it passes, as do the 6 tests of GracefulShutdownTest.

--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/Relay.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/Relay.kt
@@ -243,7 +243,8 @@
         val service = route.drawService(random)
         val headers = request.headers.endToEnd().also(dialect::removeReserved)
         val callerDeadlineMs = dialect.deadlineMs(request.headers)?.let { request.startMs + it } ?: Long.MAX_VALUE
-        val deadlineMs = minOf(callerDeadlineMs, request.startMs + route.timeoutMs)
+        val shutdownMs = shutdown?.takeUnless { route.stream }?.plainDeadlineMs ?: Long.MAX_VALUE
+        val deadlineMs = minOf(callerDeadlineMs, request.startMs + route.timeoutMs, shutdownMs)
         val routed = RoutedRequest(
             request = request,
             reply = reply,
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/caller/HttpServer.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/caller/HttpServer.kt
@@ -23,6 +23,7 @@
 ) {
     private val connections = LinkedHashSet<HttpServerConnection>()
     private var listening: Channel? = null
+    private var lastActivityMs = 0L
 
     /** Whether answers ask clients to close the connection. Set on the event loop. */
     public var isDraining: Boolean = false
@@ -33,6 +34,9 @@
     /** Whether a request is being read or served. Read on the event loop. */
     public val isBusy: Boolean get() = connections.any { it.isBusy }
 
+    /** Milliseconds since the last request, the last answer or the last new connection; 0 while [isBusy]. */
+    internal val quietMs: Long get() = if (isBusy) 0 else nowMs() - lastActivityMs
+
     /** Starts listening on [address] and returns the bound port. */
     public fun listen(address: Address): Int {
         val bootstrap = transport.server().childHandler(object : ChannelInitializer<SocketChannel>() {
@@ -50,9 +54,12 @@
         return (bound.localAddress() as java.net.InetSocketAddress).port
     }
 
-    /** Closes the connections without a request. Called on the event loop. */
-    public fun closeIdle() {
-        connections.toList().forEach { it.closeIfIdle() }
+    /**
+     * Closes the connections without a request that have been opened, and have received bytes, at least
+     * [silentMs] milliseconds ago. Called on the event loop.
+     */
+    internal fun closeIdle(silentMs: Long) {
+        connections.filter { !it.isBusy && nowMs() - it.lastInputMs >= silentMs }.forEach { it.close() }
     }
 
     /** Stops listening; open connections stay open. */
@@ -60,8 +67,13 @@
         listening?.close()
     }
 
+    internal fun onActivity() {
+        lastActivityMs = nowMs()
+    }
+
     internal fun onOpened(connection: HttpServerConnection) {
         connections += connection
+        onActivity()
     }
 
     internal fun onClosed(connection: HttpServerConnection) {
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/caller/HttpServerConnection.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/caller/HttpServerConnection.kt
@@ -54,6 +54,10 @@
     /** Whether a request is being read or served. */
     val isBusy: Boolean get() = head != null || current != null || pendingParts.isNotEmpty()
 
+    /** Monotonic time in milliseconds at which bytes arrived last, or the connection was opened. */
+    var lastInputMs = server.nowMs()
+        private set
+
     override fun handlerAdded(ctx: ChannelHandlerContext) {
         server.onOpened(this)
         startTimer(limits.headerTimeoutMs, ::onHeaderTimeout)
@@ -72,6 +76,11 @@
         }
     }
 
+    /** Also called for bytes that complete no part of a request. */
+    override fun channelReadComplete(ctx: ChannelHandlerContext) {
+        lastInputMs = server.nowMs()
+    }
+
     override fun channelWritabilityChanged(ctx: ChannelHandlerContext) {
         if (channel.isWritable) current?.resume()
     }
@@ -94,9 +103,9 @@
         ctx.close()
     }
 
-    /** Closes the connection unless a request is being read or served. */
-    fun closeIfIdle() {
-        if (!isBusy) channel.close()
+    /** Closes the connection. */
+    fun close() {
+        channel.close()
     }
 
     private fun readPart(part: HttpObject) {
@@ -112,6 +121,7 @@
     private fun begin(request: HttpRequest) {
         head = request
         headReceivedMs = server.nowMs()
+        server.onActivity()
         body = Unpooled.compositeBuffer(MAX_BODY_PARTS)
         startTimer(limits.idleTimeoutMs, ::onBodyTimeout)
         if (HttpUtil.is100ContinueExpected(request)) {
@@ -150,6 +160,7 @@
 
     private fun onAnswered(keep: Boolean) {
         current = null
+        server.onActivity()
         if (!keep || isClosing) return
         startTimer(limits.idleTimeoutMs, ::onIdleTimeout)
         while (current == null && !isClosing) readPart(pendingParts.removeFirstOrNull() ?: return)
--- a/gentiandale-relay/src/test/kotlin/gentiandale/relay/RelayFixture.kt
+++ b/gentiandale-relay/src/test/kotlin/gentiandale/relay/RelayFixture.kt
@@ -9,6 +9,7 @@
 import gentiandale.core.backend.CrashRecord
 import gentiandale.core.backend.LimitStatement
 import gentiandale.core.log.EventLog
+import gentiandale.relay.caller.GracefulShutdown
 import gentiandale.relay.caller.HttpServer
 import gentiandale.relay.routing.EngineRule
 import gentiandale.relay.routing.HttpServerLimits
@@ -152,6 +153,15 @@
         transport.loop.submit { relay.beginShutdown(ShutdownWindow(now - agoMs, now + remainingMs)) }.get()
     }
 
+    /** Shuts down within [limitMs] milliseconds, at once if no request arrives; returns whether all got answers. */
+    fun shutDown(limitMs: Long): Boolean {
+        val now = SystemClock.monotonicMs()
+        val window = ShutdownWindow(now, now + limitMs)
+        transport.loop.submit { relay.beginShutdown(window) }.get()
+        val shutdown = GracefulShutdown(server, transport.loop, SystemClock::monotonicMs, minMs = 0, quietMs = 0)
+        return shutdown.run(window)
+    }
+
     /** Opens a connection to the relay as a caller. */
     fun connect() = Socket("127.0.0.1", port).also { it.soTimeout = SOCKET_TIMEOUT_MS }
 
