Don't take a late reply to an earlier process for that to a new call

Calls between VMs were numbered from 1 in each process, and so were questions of an entry VM about loads. A reply that was under way when its caller's process ended reached the successor at the same address and was taken for the reply to the call with the same number: the state store and the forwarding of requests rely on these replies.

Numbers now start anywhere, and questions at the time of day.

Before: PeerNodeTest, "returns no reply to a call of an earlier process of its VM" fails with "expected: <[2]> but was: <[1]>". After: it passes.

--- a/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/FleetSubscriber.kt
+++ b/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/FleetSubscriber.kt
@@ -78,7 +78,9 @@
     private var lastRowsMs: Long? = null
     private var reportedTo: VmId? = null
     private var hasReportedLoad = false
-    private var lastQuestion = 0L
+
+    /** Starts at the time of day, so that a late reply to an earlier process of this VM fits no question of this one. */
+    private var lastQuestion = clock.wallMs()
     private var tickCount = 0
     private val entryCount = EntryCount()
     private val pendingConfirmations = ArrayList<PendingConfirmation>()
--- a/gentiandale-wire/src/main/kotlin/gentiandale/wire/PeerNode.kt
+++ b/gentiandale-wire/src/main/kotlin/gentiandale/wire/PeerNode.kt
@@ -26,6 +26,7 @@
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.Executors
 import java.util.concurrent.atomic.AtomicLong
+import kotlin.random.Random
 
 /** Handles the messages of one channel. */
 public fun interface MessageHandler {
@@ -54,7 +55,9 @@
     private val addresses = ConcurrentHashMap<VmId, Address>()
     private val links = ConcurrentHashMap<VmId, PeerLink>()
     private val pendingCalls = ConcurrentHashMap<Long, CompletableDeferred<ByteArray>>()
-    private val lastCallNumber = AtomicLong()
+
+    /** Starts anywhere, so that a late reply to an earlier process of this VM fits no call of this one. */
+    private val lastCallNumber = AtomicLong(Random.nextLong(1, Long.MAX_VALUE / 2))
     private val sentBytes = AtomicLong()
     private var server: ServerSocket? = null
 
--- a/gentiandale-wire/src/test/kotlin/gentiandale/wire/PeerNodeTest.kt
+++ b/gentiandale-wire/src/test/kotlin/gentiandale/wire/PeerNodeTest.kt
@@ -50,6 +50,24 @@
             assertNull(left.call(right.self, Channel.STORE, byteArrayOf(1), SHORT_TIMEOUT_MS))
         }
 
+        // Guards against a late reply to an earlier process that is taken for the reply to a call of its successor.
+        @Test
+        fun `returns no reply to a call of an earlier process of its VM`() = runBlocking<Unit> {
+            connect()
+            right.handle(Channel.STORE) { _, payload ->
+                delay(REPLY_DELAY_MS)
+                payload
+            }
+            assertNull(left.call(right.self, Channel.STORE, byteArrayOf(1), SHORT_TIMEOUT_MS))
+            left.close()
+            PeerNode(left.self).use { successor ->
+                awaitUntil { runCatching { successor.listen(Address(LOOPBACK, leftPort)) }.isSuccess }
+                successor.setAddress(right.self, Address(LOOPBACK, rightPort))
+                val reply = successor.call(right.self, Channel.STORE, byteArrayOf(2), TIMEOUT_MS)
+                assertEquals(listOf<Byte>(2), reply?.toList())
+            }
+        }
+
         @Test
         fun `returns null for an unknown peer`() = runBlocking<Unit> {
             assertNull(left.call(VmId("nobody"), Channel.STORE, byteArrayOf(1), SHORT_TIMEOUT_MS))
@@ -91,5 +109,8 @@
         const val LOOPBACK = "127.0.0.1"
         const val TIMEOUT_MS = 10_000L
         const val SHORT_TIMEOUT_MS = 50L
+
+        /** Longer than a restart takes, so that the reply to the earlier process arrives first. */
+        const val REPLY_DELAY_MS = 300L
     }
 }
