Don't return a late copy of a response to the next call of gentiandaled

A service that sends a response twice on a kept connection made gentiandaled return the copy to the next caller: responses of plain services bear no id that could tell them apart.

The sender opens a connection for each call.

Before: PlainSenderTest, "a late copy of a response is not the response to the next call" fails with "expected: <[1, 2]> but was: <[1, 1]>". After: it passes.

--- a/gentiandale-daemon/src/main/kotlin/gentiandale/daemon/claim/PlainSender.kt
+++ b/gentiandale-daemon/src/main/kotlin/gentiandale/daemon/claim/PlainSender.kt
@@ -37,7 +37,12 @@
 /** Sends calls to plain services over HTTP/1.1, each at most once. */
 internal class PlainSender : AutoCloseable {
     private val log = LoggerFactory.getLogger("gentiandale.route")
-    private val factory = ClientFactory.builder().connectTimeout(Duration.ofMillis(CONNECT_TIMEOUT_MS)).build()
+
+    // Responses bear no id, so that on a kept connection a late copy would be taken for the response to the next call.
+    private val factory = ClientFactory.builder()
+        .connectTimeout(Duration.ofMillis(CONNECT_TIMEOUT_MS))
+        .maxNumRequestsPerConnection(1)
+        .build()
     private val client = WebClient.builder()
         .factory(factory)
         .responseTimeoutMillis(0)
--- a/gentiandale-daemon/src/test/kotlin/gentiandale/daemon/claim/PlainSenderTest.kt
+++ b/gentiandale-daemon/src/test/kotlin/gentiandale/daemon/claim/PlainSenderTest.kt
@@ -9,6 +9,7 @@
 import java.net.InetAddress
 import java.net.ServerSocket
 import java.net.Socket
+import java.util.concurrent.atomic.AtomicInteger
 import kotlin.concurrent.thread
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -18,7 +19,7 @@
     private val sender = PlainSender()
     private val listening = ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))
 
-    private val port = listening.localPort
+    private val address = Address("127.0.0.1", listening.localPort)
     private var isLeaving = false
 
     @AfterEach
@@ -37,9 +38,12 @@
                 end(socket)
             }
         }
+        return runBlocking { sender.send(call(), address, TIMEOUT_MS) { isLeaving } }
+    }
+
+    private fun call(): PlainCall {
         val headers = RequestHeaders.of(HttpMethod.POST, "/order")
-        val call = PlainCall("orders", HttpMethod.POST, "/order", headers, HttpData.ofUtf8("x"), "caller", TIMEOUT_MS)
-        return runBlocking { sender.send(call, Address("127.0.0.1", port), TIMEOUT_MS) { isLeaving } }
+        return PlainCall("orders", HttpMethod.POST, "/order", headers, HttpData.ofUtf8(BODY), "caller", TIMEOUT_MS)
     }
 
     @Test
@@ -74,7 +78,45 @@
         assertIs<SendOutcome.Answered>(send("HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwhole") { listening.close() })
     }
 
+    // Guards against a late copy of a response that is taken for the response to the next call.
+    @Test
+    fun `a late copy of a response is not the response to the next call`() {
+        val bodies = AtomicInteger()
+        thread(isDaemon = true) {
+            while (!listening.isClosed) {
+                val socket = runCatching { listening.accept() }.getOrNull() ?: break
+                thread(isDaemon = true) { runCatching { answerTwice(socket, bodies) } }
+            }
+        }
+        val texts = List(2) {
+            assertIs<SendOutcome.Answered>(runBlocking { sender.send(call(), address, TIMEOUT_MS) })
+                .response.contentUtf8()
+        }
+        assertEquals(listOf("1", "2"), texts)
+    }
+
+    /** Answers each call on [socket] with a number of its own, after a late copy of the answer before. */
+    private fun answerTwice(socket: Socket, bodies: AtomicInteger) = socket.use {
+        var last = ""
+        while (readsCall(it)) {
+            it.getOutputStream().write(last.toByteArray())
+            last = "HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\n${bodies.incrementAndGet()}"
+            it.getOutputStream().write(last.toByteArray())
+        }
+    }
+
+    private fun readsCall(socket: Socket): Boolean {
+        val text = StringBuilder()
+        while (!text.endsWith("\r\n\r\n$BODY")) {
+            val next = socket.getInputStream().read()
+            if (next < 0) return false
+            text.append(next.toChar())
+        }
+        return true
+    }
+
     private companion object {
+        const val BODY = "x"
         const val REQUEST_BYTES = 4_096
         const val TIMEOUT_MS = 3_000L
 
