Never send a request twice over one connection

Cause: an answer is matched by the id of the request, which is the same for all its sends, and the pool hands out the connection used last, which had carried the rejection. Its late copy was taken for the answer to the second send.

Ruled out: a resend by the connection itself; each send has its own line in the log.

A connection that has carried a request isn't used for it again, whatever the answer was. This covers plain calls, streams that can't be resumed, and prefills. A connection that has carried a request without an id is closed after it.

Before: RepeatedSendTest, 3 of 3 fail (a call and a stream run twice; a decode server gets the handle of an expired KV cache again). After: they pass, with PlainRelayTest and StreamRelayTest.

--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/RequestHandler.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/RequestHandler.kt
@@ -10,6 +10,7 @@
 import gentiandale.relay.upstream.AnswerFraming
 import gentiandale.relay.upstream.AnswerListener
 import gentiandale.relay.upstream.Exchange
+import gentiandale.relay.upstream.RequestCarriers
 import gentiandale.relay.upstream.SendFailure
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
@@ -48,6 +49,7 @@
     private var sends = 0
     private var deadlineTimer: ScheduledFuture<*>? = null
     private val running = ArrayList<Send>(2)
+    private val carriers = RequestCarriers()
     protected val permits = PermitHold(context.nowMs)
 
     /** Chooses a server and sends the request, or ends it. */
@@ -217,7 +219,7 @@
             ),
         )
         server.running++
-        send.exchange = context.upstreams.send(server, routed.id, maxIdleMs, send)
+        send.exchange = context.upstreams.send(server, routed.id, maxIdleMs, carriers, send)
         return send
     }
 
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/upstream/ServerConnectionPool.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/upstream/ServerConnectionPool.kt
@@ -27,11 +27,11 @@
     val size: Int get() = open
 
     /**
-     * Sends the request of [exchange] over a connection that has been idle for at most [maxIdleMs] milliseconds, or
-     * over a new one.
+     * Sends the request of [exchange] over a connection that has been idle for at most [maxIdleMs] milliseconds and has
+     * not carried the request before, or over a new one.
      */
     fun send(exchange: Exchange, maxIdleMs: Long) {
-        val ready = takeIdle(maxIdleMs)
+        val ready = takeIdle(maxIdleMs, exchange.carriers)
         when {
             ready != null -> start(exchange, ready)
             open >= maxConnections() && !closeOldestIdle() -> failUnsent(exchange, "all $open connections in use")
@@ -54,14 +54,20 @@
         idle.toList().forEach { it.close() }
     }
 
-    private fun takeIdle(maxIdleMs: Long): UpstreamConnection? {
+    private fun takeIdle(maxIdleMs: Long, carriers: RequestCarriers): UpstreamConnection? {
         val now = nowMs()
-        while (idle.isNotEmpty()) {
+        val skipped = ArrayDeque<UpstreamConnection>()
+        var found: UpstreamConnection? = null
+        while (found == null && idle.isNotEmpty()) {
             val last = idle.removeLast()
-            if (last.isUsable && now < last.usableUntilMs && now - last.idleSinceMs <= maxIdleMs) return last
-            last.close()
+            when {
+                !last.isUsable || now >= last.usableUntilMs || now - last.idleSinceMs > maxIdleMs -> last.close()
+                last in carriers -> skipped.addFirst(last)
+                else -> found = last
+            }
         }
-        return null
+        idle += skipped
+        return found
     }
 
     private fun closeOldestIdle(): Boolean {
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/upstream/UpstreamConnection.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/upstream/UpstreamConnection.kt
@@ -15,8 +15,8 @@
 import io.netty.util.ReferenceCountUtil
 
 /**
- * One connection to a backend server, which carries one request at a time. Answers with the id of another request are
- * read and discarded, and that connection is not reused. Surplus bytes or a malformed answer close it at once, since
+ * One connection to a backend server, which carries one request at a time, and no request twice. Answers with the id of
+ * another request are read and discarded, and that connection is not reused. Surplus bytes or a malformed answer close it at once, since
  * they may have no end.
  */
 internal class UpstreamConnection(
@@ -54,11 +54,14 @@
     fun send(next: Exchange, request: FullHttpRequest) {
         exchange = next
         next.connection = this
+        next.carriers.add(this)
         next.isSent = true
         isRequestWritten = false
         isAnswerComplete = false
         sentCount++
         interimCount = 0
+        // Nothing tells the answer to a request without an id from a late copy of an earlier one.
+        if (next.requestId == null) isTainted = true
         decoder?.isBodyless = request.method() == HttpMethod.HEAD
         channel.writeAndFlush(request).addListener {
             isRequestWritten = it.isSuccess
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/upstream/Upstreams.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/upstream/Upstreams.kt
@@ -18,9 +18,18 @@
     /** Tells servers whose process has ended from those that have only closed a connection. */
     val crashes = CrashDetector(transport)
 
-    /** Sends a request to [backend] over a connection that has been idle for at most [maxIdleMs] milliseconds. */
-    fun send(backend: Backend, requestId: String?, maxIdleMs: Long, listener: AnswerListener): Exchange {
-        val exchange = Exchange(listener, requestId)
+    /**
+     * Sends a request to [backend] over a connection that has been idle for at most [maxIdleMs] milliseconds and is not
+     * one of the [carriers] of the same request.
+     */
+    fun send(
+        backend: Backend,
+        requestId: String?,
+        maxIdleMs: Long,
+        carriers: RequestCarriers,
+        listener: AnswerListener,
+    ): Exchange {
+        val exchange = Exchange(listener, requestId, carriers)
         poolOf(backend).send(exchange, maxIdleMs)
         return exchange
     }
