--- a/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/FleetSubscriber.kt
+++ b/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/FleetSubscriber.kt
@@ -79,7 +79,7 @@
     private var reportedTo: VmId? = null
     private var hasReportedLoad = false
 
-    /** Starts at the time of day, so that a late reply to an earlier process of this VM fits no question of this one. */
+    /** Starts at the time of day, so that a late reply to an earlier process of this VM answers no question. */
     private var lastQuestion = clock.wallMs()
     private var tickCount = 0
     private val entryCount = EntryCount()
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/upstream/UpstreamConnection.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/upstream/UpstreamConnection.kt
@@ -16,8 +16,8 @@
 
 /**
  * One connection to a backend server, which carries one request at a time, and no request twice. Answers with the id of
- * another request are read and discarded, and that connection is not reused. Surplus bytes or a malformed answer close it at once, since
- * they may have no end.
+ * another request are read and discarded, and that connection is not reused. Surplus bytes or a malformed answer close
+ * it at once, since they may have no end.
  */
 internal class UpstreamConnection(
     private val channel: Channel,
--- a/gentiandale-relay/src/test/kotlin/gentiandale/relay/RepeatedSendTest.kt
+++ b/gentiandale-relay/src/test/kotlin/gentiandale/relay/RepeatedSendTest.kt
@@ -22,7 +22,7 @@
     /** Sends the first answer of the connection [socket] once more, as it comes late. */
     private fun repeatFirstAnswer(socket: Socket) = firstAnswers[socket]?.invoke()
 
-    /** Rejects the first request, and runs the later ones after a late copy of the rejection, if their connection had it. */
+    /** Rejects the first request and runs later ones, after a late copy of a rejection on their connection. */
     private fun rejectFirst(request: RawRequest, socket: Socket, run: () -> Boolean): Boolean {
         if (firstAnswers.isEmpty()) {
             firstAnswers[socket] = { FakeServer.reject(socket, request) }
