Record the departure of a server before it is acknowledged

Cause: a departure was acknowledged as soon as one control VM had it in memory. The tombstone that keeps a late heartbeat from reviving the server was on no disk. A "draining" was lost in the same way.

Ruled out: the order of rows within one process; without the kill the same late heartbeat changes nothing.

A majority of the control VMs records a departure before the acknowledgement, entry VMs are told before that, and each control VM passes on what it learns from the store. A control VM that has just started passes on no usable server until it has applied the departures recorded before its start.

Before: PlatformProcessesTest, "a server that has deregistered is not used after all processes were killed" and "a draining server is not used after all processes were killed", fail: callers get 200 in place of 503. After: they pass, with DepartureRecoveryTest, StoreMachineTest and StoreSupervisorTest.

--- a/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/ControlHub.kt
+++ b/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/ControlHub.kt
@@ -27,6 +27,8 @@
  * Not thread-safe: all calls must come from one thread.
  *
  * @param silenceMs time in milliseconds without a heartbeat after which a server is marked as silent.
+ * @param isRecovering whether departures of servers were recorded that this VM doesn't know yet. Until
+ * [onDeparturesComplete] it passes on no heartbeat that makes a server usable.
  */
 public class ControlHub(
     private val self: VmId,
@@ -34,6 +36,7 @@
     private val sender: FleetSender,
     private val log: EventLog,
     private val silenceMs: Long,
+    private var isRecovering: Boolean = false,
 ) {
     private class Peer(var version: Long, var digest: Long, var seenMs: Long, var tableMs: Long = Long.MIN_VALUE / 2) {
         var speeds = emptyList<ReadSpeed>()
@@ -42,6 +45,9 @@
 
     private val controlVms = ControlVmRegistry(self, log)
     private val table = BackendTable()
+    private val recordedDepartures = HashMap<ServerId, BackendRow>()
+    private val heldHeartbeats = HashMap<ServerId, BackendRow>()
+    private val startMs = clock.monotonicMs()
     private val lastRowMs = HashMap<ServerId, Long>()
     private val entries = HashMap<VmId, Peer>()
     private val controls = HashMap<VmId, Peer>()
@@ -82,17 +88,60 @@
         controlVms.seeds = seeds
     }
 
-    /** Applies the heartbeat [row] of a backend server and forwards it to control VMs and entry VMs. */
-    public fun onHeartbeat(row: BackendRow) {
+    /**
+     * Applies the heartbeat [row] of a backend server and forwards it to control VMs and entry VMs. While this VM
+     * recovers, it holds back heartbeats of servers that take new work.
+     *
+     * @return whether it was applied or is held; if not, the server should turn to another control VM.
+     */
+    public fun onHeartbeat(row: BackendRow): Boolean {
+        if (isRecovering && row.acceptsWork) return hold(row)
+        if (row.acceptsWork) recordedDepartures[row.id]?.let { if (row.isNewerThan(it)) recordedDepartures -= row.id }
+        publish(row)
+        return true
+    }
+
+    private fun hold(row: BackendRow): Boolean {
+        val held = heldHeartbeats[row.id]
+        if (held == null || row.isNewerThan(held)) heldHeartbeats[row.id] = row
+        return clock.monotonicMs() - startMs < MAX_HOLD_MS
+    }
+
+    private fun publish(row: BackendRow) {
         val changed = mergeRow(row, "heartbeat")
         val message = FleetMessage.Servers(listOf(row))
         controlVms.all.forEach { sender.send(it, message) }
         notifyEntries(changed)
     }
 
+    /** Returns whether the departure [row] is recorded, so that it survives the loss of processes and disks. */
+    public fun isRecorded(row: BackendRow): Boolean {
+        val recorded = recordedDepartures[row.id] ?: return false
+        return when {
+            recorded.incarnation != row.incarnation -> recorded.incarnation > row.incarnation
+            else -> recorded.state == BackendState.GONE || row.state != BackendState.GONE
+        }
+    }
+
+    /** Adopts the departures [rows] that the store has recorded, and tells the entry VMs those that are news. */
+    public fun onDepartures(rows: List<BackendRow>) {
+        rows.forEach { row ->
+            val known = recordedDepartures[row.id]
+            if (known == null || row.isNewerThan(known)) recordedDepartures[row.id] = row
+        }
+        notifyEntries(rows.flatMap { mergeRow(it, "store") })
+    }
+
+    /** Ends the recovery of this VM, to which all departures are known now. */
+    public fun onDeparturesComplete() {
+        isRecovering = false
+        heldHeartbeats.values.forEach(::onHeartbeat)
+        heldHeartbeats.clear()
+    }
+
     /** Records that the server [id] has said in an answer to this VM that it leaves, and tells the other VMs. */
     public fun onDeparting(id: ServerId) {
-        table[id]?.takeIf { !it.departing }?.let { onHeartbeat(it.copy(departing = true)) }
+        table[id]?.takeIf { !it.departing }?.let { publish(it.copy(departing = true)) }
     }
 
     /** Returns the row of the server [id], or null if it is unknown. */
@@ -334,6 +383,9 @@
         /** An unanswered fetch is repeated after this time. */
         private const val FETCH_RETRY_MS = 300L
 
+        /** Longer than an election and the replay of the log; then servers are sent to other control VMs. */
+        private const val MAX_HOLD_MS = 5_000L
+
         /** A heartbeat of a server that has ended may arrive this late, so its tombstone must be kept that long. */
         private const val TOMBSTONE_MS = 120_000L
     }
--- a/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/FleetLogEvent.kt
+++ b/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/FleetLogEvent.kt
@@ -92,6 +92,26 @@
         }
     }
 
+    /** This VM knows all departures of backend servers recorded before its start: [count], up to [revision]. */
+    public class DeparturesRead(
+        private val revision: Long,
+        private val count: Int,
+        private val elapsedMs: Long,
+    ) : FleetLogEvent("departures-read") {
+        override fun describe(line: LogLine) {
+            line.field("revision", revision).field("count", count).field("elapsed_ms", elapsedMs)
+        }
+    }
+
+    /** The departure [row] of a backend server could not be recorded because of [reason], and is not acknowledged. */
+    public class DepartureUnconfirmed(private val row: BackendRow, private val reason: String) :
+        FleetLogEvent("departure-unconfirmed") {
+        override fun describe(line: LogLine) {
+            line.field("server", row.id.value).field("incarnation_of_server", row.incarnation.value)
+                .field("state", row.state.name.lowercase()).field("reason", reason)
+        }
+    }
+
     /** An engine was ordered to change its stage; [status] is the HTTP status of its answer, null without an answer. */
     public class StageOrdered(
         private val change: StageChange,
--- a/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/StoreSupervisor.kt
+++ b/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/StoreSupervisor.kt
@@ -2,7 +2,10 @@
 
 import gentiandale.core.Clock
 import gentiandale.core.VmId
+import gentiandale.core.backend.BackendRow
 import gentiandale.core.log.EventLog
+import gentiandale.state.Departure
+import gentiandale.state.Departures
 import gentiandale.state.Document
 import gentiandale.state.RaftStore
 import gentiandale.state.StoreCommand
@@ -16,29 +19,45 @@
 import gentiandale.state.raft.VoterReplacementPolicy
 import gentiandale.wire.PeerNode
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.flow.first
 import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
 import java.io.IOException
 import java.nio.file.Path
 
-/** Result of storing a configuration, or of reading the version in force. */
+/** Result of a write to the store, or of reading the version in force. */
 public sealed interface StoreResult {
-    /** A majority confirmed [version] as accepted; after a write it is at least as high as the written one. */
+    /**
+     * A majority confirmed [version], of the configuration or of the departures; after a write it is at least as high
+     * as the written one.
+     */
     public data class Confirmed(val version: Long) : StoreResult
 
-    /** No confirmation arrived; a written configuration may have been accepted all the same. */
+    /** No confirmation arrived; what was written may have been accepted all the same. */
     public data class Unconfirmed(val reason: String) : StoreResult
 }
 
+/** Receives what the replicated store has accepted, from a thread of its own. */
+public interface StoreListener {
+    /** Called with each accepted configuration. */
+    public fun onDocument(document: Document)
+
+    /** Called with the departures of backend servers when one was recorded. */
+    public fun onDepartures(rows: List<BackendRow>)
+
+    /** Called once after the start, when [onDepartures] has received all that were recorded before it. */
+    public fun onDeparturesComplete()
+}
+
 /**
  * Runs the replicated store on a data folder. After a disk error it reopens the folder until that succeeds.
  *
  * @param initialVoters VMs that bootstrap the group at its very first start.
  * @param isFirstStart whether this is the very first start of the group.
  * @param toleratedLosses number of voters whose simultaneous loss is tolerated.
- * @param onDocument called with each accepted configuration.
  */
 public class StoreSupervisor(
     private val node: PeerNode,
@@ -48,8 +67,10 @@
     private val toleratedLosses: Int,
     private val clock: Clock,
     private val log: EventLog,
-    private val onDocument: (Document) -> Unit,
+    private val listener: StoreListener,
 ) {
+    private var areDeparturesComplete = false
+
     @Volatile
     private var current: RaftStore? = null
 
@@ -79,17 +100,25 @@
         timeoutMs: Long,
     ): StoreResult = submit(StoreCommand.ReadDocument(DOCUMENT_NAME, 0), timeoutMs)
 
+    /** Records the departure of the backend server [row] and waits for at most [timeoutMs] milliseconds. */
+    public suspend fun recordDeparture(row: BackendRow, timeoutMs: Long): StoreResult =
+        submit(StoreCommand.RecordDepartures(listOf(row), 0), timeoutMs)
+
     private suspend fun submit(command: StoreCommand, timeoutMs: Long): StoreResult {
         val open = current ?: return StoreResult.Unconfirmed("The data folder $folder is not open.")
         return when (val outcome = open.submit(command, timeoutMs)) {
-            is SubmitOutcome.Done ->
-                (outcome.reply as? StoreReply.DocumentAt)?.let { StoreResult.Confirmed(it.version) }
-                    ?: StoreResult.Unconfirmed("The store sent an unexpected reply: ${outcome.reply}.")
+            is SubmitOutcome.Done -> resultOf(outcome.reply)
             is SubmitOutcome.NotAccepted -> StoreResult.Unconfirmed(outcome.reason)
             is SubmitOutcome.NotKnown -> StoreResult.Unconfirmed(outcome.reason)
         }
     }
 
+    private fun resultOf(reply: StoreReply) = when (reply) {
+        is StoreReply.DocumentAt -> StoreResult.Confirmed(reply.version)
+        is StoreReply.DeparturesAt -> StoreResult.Confirmed(reply.revision)
+        else -> StoreResult.Unconfirmed("The store sent an unexpected reply: $reply.")
+    }
+
     private suspend fun runOnce() {
         val opened = open()
         if (opened != null) {
@@ -106,13 +135,32 @@
     }
 
     private suspend fun watch(opened: RaftStore) = coroutineScope {
-        val reader = launch {
-            opened.documents.collect { documents -> documents[DOCUMENT_NAME]?.let(onDocument) }
-        }
+        val readers = listOf(
+            launch { opened.documents.collect { documents -> documents[DOCUMENT_NAME]?.let(listener::onDocument) } },
+            launch { opened.departures.collect { listener.onDepartures(it.rows) } },
+            launch { if (!areDeparturesComplete) completeDepartures(opened) },
+        )
         while (opened.isRunning) delay(POLL_MS)
-        reader.cancel()
+        readers.forEach(Job::cancel)
+    }
+
+    /** Waits until this replica has applied all departures that were recorded before its start. */
+    private suspend fun completeDepartures(opened: RaftStore) {
+        val startMs = clock.monotonicMs()
+        var revision: Long? = null
+        while (revision == null) {
+            val read = submit(StoreCommand.RecordDepartures(emptyList(), 0), READ_TIMEOUT_MS)
+            revision = (read as? StoreResult.Confirmed)?.version
+        }
+        val complete = opened.departures.first { it.revision >= revision }
+        listener.onDepartures(complete.rows)
+        listener.onDeparturesComplete()
+        areDeparturesComplete = true
+        log.write(FleetLogEvent.DeparturesRead(revision, complete.all.size, clock.monotonicMs() - startMs))
     }
 
+    private val Departures.rows get() = all.map(Departure::row)
+
     private fun open(): RaftStore? = try {
         val disk = DiskFolder(folder)
         when (val opening = RaftStore.open(node, initialVoters, disk, clock, settings())) {
@@ -140,6 +188,7 @@
         const val DOCUMENT_NAME = "configuration"
         const val REOPEN_DELAY_MS = 500L
         const val POLL_MS = 200L
+        const val READ_TIMEOUT_MS = 1_000L
 
         /** Kept small because entries stay in memory and a configuration can have several hundred kilobytes. */
         const val SNAPSHOT_ENTRIES = 64L
--- a/gentiandale-fleet/src/test/kotlin/gentiandale/fleet/StoreSupervisorTest.kt
+++ b/gentiandale-fleet/src/test/kotlin/gentiandale/fleet/StoreSupervisorTest.kt
@@ -1,7 +1,15 @@
 package gentiandale.fleet
 
+import gentiandale.core.Address
+import gentiandale.core.DataCentreId
+import gentiandale.core.Incarnation
+import gentiandale.core.ServerId
+import gentiandale.core.ServerKind
 import gentiandale.core.SystemClock
 import gentiandale.core.VmId
+import gentiandale.core.backend.BackendRow
+import gentiandale.core.backend.BackendState
+import gentiandale.core.backend.ServiceName
 import gentiandale.core.log.EventLog
 import gentiandale.core.log.LogEvent
 import gentiandale.state.Document
@@ -33,6 +41,7 @@
     private val job = Job()
     private val events = CopyOnWriteArrayList<String>()
     private val accepted = CopyOnWriteArrayList<Long>()
+    private val departed = CopyOnWriteArrayList<String>()
     private val supervisors = mutableListOf<StoreSupervisor>()
 
     /** Stops everything that writes below [base]. Otherwise JUnit can fail to delete the temp directory. */
@@ -79,6 +88,30 @@
         assertEquals(StoreResult.Confirmed(7), first.put(Document(6, ByteArray(3)), PUT_MS))
     }
 
+    @Test
+    fun `a recorded departure survives a restart on the same data folder`() = runBlocking {
+        val folder = base.resolve("data")
+        val first = supervisor(folder, Job(job))
+        await { "departures-complete" in events }
+        assertIs<StoreResult.Confirmed>(first.recordDeparture(gone("i-1"), PUT_MS))
+        await { "i-1" in departed }
+        departed.clear()
+        first.store?.close()
+        await { events.count { it == "store-opened" } == 2 && "i-1" in departed }
+    }
+
+    private fun gone(id: String) = BackendRow(
+        id = ServerId(id),
+        incarnation = Incarnation(5),
+        sequence = 7,
+        service = ServiceName("app"),
+        address = Address("10.0.0.1", 80),
+        dataCentre = DataCentreId("a"),
+        state = BackendState.GONE,
+        kind = ServerKind.PLAIN,
+        places = 6,
+    )
+
     private fun supervisor(folder: Path, parent: Job = job) = StoreSupervisor(
         node = node,
         folder = folder,
@@ -87,12 +120,26 @@
         toleratedLosses = 0,
         clock = SystemClock,
         log = Log(),
-        onDocument = { accepted += it.version },
+        listener = Listener(),
     ).also {
         supervisors += it
         it.start(CoroutineScope(parent + Dispatchers.Default))
     }
 
+    private inner class Listener : StoreListener {
+        override fun onDocument(document: Document) {
+            accepted += document.version
+        }
+
+        override fun onDepartures(rows: List<BackendRow>) {
+            departed += rows.map { it.id.value }
+        }
+
+        override fun onDeparturesComplete() {
+            events += "departures-complete"
+        }
+    }
+
     private inner class Log : EventLog {
         override fun write(event: LogEvent) {
             events += event.name
--- a/gentiandale-state/src/main/kotlin/gentiandale/state/RaftStore.kt
+++ b/gentiandale-state/src/main/kotlin/gentiandale/state/RaftStore.kt
@@ -52,6 +52,7 @@
     private val statusFlow = MutableStateFlow(replica?.status)
     private val contacts = MutableStateFlow(voters.toSet())
     private val stored = MutableStateFlow(replica?.store?.documents ?: emptyMap())
+    private val departed = MutableStateFlow(replica?.store?.departures ?: Departures())
     private val loop = replica?.let { ReplicaLoop(it, clock, ::publish) }
     private val client = StoreClient(::leaderCandidates, clock, ::call)
 
@@ -73,6 +74,9 @@
     /** Committed documents by name, as known on this VM. */
     public val documents: StateFlow<Map<String, Document>> = stored.asStateFlow()
 
+    /** Committed departures of backend servers, as known on this VM. */
+    public val departures: StateFlow<Departures> = departed.asStateFlow()
+
     /** Whether the replica is running; false without a data folder, after an error or after [close]. */
     public val isRunning: Boolean get() = loop?.isRunning ?: false
 
@@ -125,6 +129,7 @@
         statusFlow.value = replica.status
         val newer = replica.store.documents
         if (newer.mapValues { it.value.version } != stored.value.mapValues { it.value.version }) stored.value = newer
+        if (replica.store.departuresRevision != departed.value.revision) departed.value = replica.store.departures
         if (replica.store.revision > configurationFlow.value.revision) adoptConfiguration(replica.store.configuration())
     }
 
--- a/gentiandale-state/src/main/kotlin/gentiandale/state/StoreCommand.kt
+++ b/gentiandale-state/src/main/kotlin/gentiandale/state/StoreCommand.kt
@@ -7,6 +7,7 @@
 import gentiandale.core.RecordId
 import gentiandale.core.StoredRecord
 import gentiandale.core.VmId
+import gentiandale.core.backend.BackendRow
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.cbor.ByteString
@@ -82,6 +83,13 @@
     /** Reads the version of the document [name]. It goes through the log, so that the read is linearizable. */
     @Serializable
     public data class ReadDocument(val name: String, override val atMs: Long) : StoreCommand
+
+    /**
+     * Records the departures of the backend servers [rows], each unless a newer row of its server is recorded. Without
+     * rows it reads the revision of the departures; the read is linearizable.
+     */
+    @Serializable
+    public data class RecordDepartures(val rows: List<BackendRow>, override val atMs: Long) : StoreCommand
 }
 
 /**
@@ -105,6 +113,7 @@
     is StoreCommand.AcquireLease -> copy(atMs = atMs)
     is StoreCommand.PutDocument -> copy(atMs = atMs)
     is StoreCommand.ReadDocument -> copy(atMs = atMs)
+    is StoreCommand.RecordDepartures -> copy(atMs = atMs)
 }
 
 /** Returns the total length of the bodies in this command: characters for text, bytes for documents. */
@@ -112,9 +121,13 @@
     is StoreCommand.ApplyRecords -> drafts.sumOf { it.body.length }
     is StoreCommand.SettleKey -> (result as? ClaimResult.Answered)?.body?.length ?: 0
     is StoreCommand.PutDocument -> document.content.size
+    is StoreCommand.RecordDepartures -> rows.size * ROW_CHARS
     is StoreCommand.ClaimKey, is StoreCommand.AcquireLease, is StoreCommand.ReadDocument -> 0
 }
 
+/** Length of a typical row of a backend server. */
+private const val ROW_CHARS = 200
+
 /** Result of a call whose key was claimed. */
 @Serializable
 public sealed interface ClaimResult {
@@ -169,4 +182,8 @@
     /** Current [version] of the document; 0 if there is none. */
     @Serializable
     public data class DocumentAt(val version: Long) : StoreReply
+
+    /** Current [revision] of the departures of backend servers. */
+    @Serializable
+    public data class DeparturesAt(val revision: Long) : StoreReply
 }
--- a/gentiandale-state/src/main/kotlin/gentiandale/state/StoreMachine.kt
+++ b/gentiandale-state/src/main/kotlin/gentiandale/state/StoreMachine.kt
@@ -17,6 +17,7 @@
     private val operations = OperationTable()
     private val claims = ClaimTable()
     private val leases = LeaseTable()
+    private val departureTable = DepartureTable()
     private val history = ArrayDeque<Change>()
     private val documentsByName = sortedMapOf<String, Document>()
     private var nowMs = 0L
@@ -31,6 +32,12 @@
     /** Documents by name. */
     public val documents: Map<String, Document> get() = documentsByName.toMap()
 
+    /** Recorded departures of backend servers. */
+    public val departures: Departures get() = departureTable.save()
+
+    /** Revision of [departures]. */
+    public val departuresRevision: Long get() = departureTable.revision
+
     /** Returns the last [limit] changes, newest first. At most [MAX_HISTORY] are kept. */
     public fun history(limit: Int): List<Change> = history.takeLast(limit).reversed()
 
@@ -42,6 +49,7 @@
         nowMs = maxOf(nowMs, command.atMs)
         operations.expire(nowMs)
         claims.expire(nowMs)
+        departureTable.expire(nowMs)
         return when (command) {
             is StoreCommand.ApplyRecords -> applyOnce(command)
             is StoreCommand.ClaimKey -> claims.claim(command, nowMs)
@@ -49,6 +57,7 @@
             is StoreCommand.AcquireLease -> leases.acquire(command, nowMs)
             is StoreCommand.PutDocument -> put(command)
             is StoreCommand.ReadDocument -> StoreReply.DocumentAt(documentsByName[command.name]?.version ?: 0)
+            is StoreCommand.RecordDepartures -> record(command)
         }
     }
 
@@ -63,6 +72,7 @@
         leases = leases.save(),
         history = history.toList(),
         documents = documentsByName.toMap(),
+        departures = departureTable.save(),
     )
 
     /** Replaces the whole state with [snapshot]. */
@@ -80,6 +90,7 @@
         history.addAll(snapshot.history)
         documentsByName.clear()
         documentsByName.putAll(snapshot.documents)
+        departureTable.load(snapshot.departures)
     }
 
     private fun applyOnce(command: StoreCommand.ApplyRecords): StoreReply {
@@ -120,6 +131,11 @@
         return StoreReply.DocumentAt(command.document.version)
     }
 
+    private fun record(command: StoreCommand.RecordDepartures): StoreReply {
+        command.rows.forEach { departureTable.record(it, nowMs) }
+        return StoreReply.DeparturesAt(departureTable.revision)
+    }
+
     private fun put(draft: RecordDraft): Long? {
         if (draft.delete) {
             records.remove(draft.id.toString())
--- a/gentiandale-state/src/main/kotlin/gentiandale/state/StoreSnapshot.kt
+++ b/gentiandale-state/src/main/kotlin/gentiandale/state/StoreSnapshot.kt
@@ -40,4 +40,5 @@
     val leases: Map<String, Lease> = emptyMap(),
     val history: List<Change> = emptyList(),
     val documents: Map<String, Document> = emptyMap(),
+    val departures: Departures = Departures(),
 )
--- a/gentiandale-state/src/test/kotlin/gentiandale/state/StoreMachineTest.kt
+++ b/gentiandale-state/src/test/kotlin/gentiandale/state/StoreMachineTest.kt
@@ -1,10 +1,18 @@
 package gentiandale.state
 
+import gentiandale.core.Address
+import gentiandale.core.DataCentreId
 import gentiandale.core.FencingNumber
 import gentiandale.core.IdempotencyKey
+import gentiandale.core.Incarnation
 import gentiandale.core.OperationKey
 import gentiandale.core.RecordId
+import gentiandale.core.ServerId
+import gentiandale.core.ServerKind
 import gentiandale.core.VmId
+import gentiandale.core.backend.BackendRow
+import gentiandale.core.backend.BackendState
+import gentiandale.core.backend.ServiceName
 import gentiandale.wire.decodeWire
 import gentiandale.wire.encodeWire
 import org.junit.jupiter.api.Nested
@@ -161,6 +169,51 @@
         }
     }
 
+    @Nested
+    inner class DeparturesOfServers {
+        private fun record(vararg rows: BackendRow, atMs: Long = 0) =
+            machine.apply(StoreCommand.RecordDepartures(rows.toList(), atMs))
+
+        private fun row(id: String, sequence: Long, born: Long = 5) = BackendRow(
+            id = ServerId(id),
+            incarnation = Incarnation(born),
+            sequence = sequence,
+            service = ServiceName("app"),
+            address = Address("10.0.0.1", 80),
+            dataCentre = DataCentreId("a"),
+            state = BackendState.LEAVING,
+            kind = ServerKind.PLAIN,
+            places = 6,
+        )
+
+        @Test
+        fun `keeps the newest row of each server`() {
+            assertEquals(StoreReply.DeparturesAt(2), record(row("a", 3), row("b", 1)))
+            assertEquals(StoreReply.DeparturesAt(2), record(row("a", 2)))
+            assertEquals(StoreReply.DeparturesAt(3), record(row("a", 1, born = 6)))
+            assertEquals(listOf(row("b", 1), row("a", 1, born = 6)), machine.departures.all.map { it.row })
+        }
+
+        @Test
+        fun `survives a snapshot and reads without a change`() {
+            record(row("a", 3))
+            val copy = StoreMachine()
+            copy.restore(decodeWire(encodeWire(machine.snapshot())))
+            assertEquals(listOf(row("a", 3)), copy.departures.all.map { it.row })
+            assertEquals(StoreReply.DeparturesAt(1), copy.apply(StoreCommand.RecordDepartures(emptyList(), 0)))
+        }
+
+        @Test
+        fun `forgets a departure after its lifetime and the oldest beyond the limit`() {
+            record(row("a", 1), atMs = 1_000)
+            record(row("b", 1), atMs = 1_000 + DepartureTable.LIFETIME_MS)
+            assertEquals(2, machine.departures.all.size)
+            record(*Array(DepartureTable.MAX_DEPARTURES) { row("c$it", 1) }, atMs = 1_001 + DepartureTable.LIFETIME_MS)
+            assertEquals(DepartureTable.MAX_DEPARTURES, machine.departures.all.size)
+            assertEquals("c0", machine.departures.all.first().row.id.value)
+        }
+    }
+
     private companion object {
         val VM = VmId("vm")
     }
