--- a/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/ControlHub.kt
+++ b/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/ControlHub.kt
@@ -114,6 +114,10 @@
         notifyEntries(changed)
     }
 
+    /** Returns whether no newer row of its server contradicts the departure [row]. */
+    public fun isInForce(row: BackendRow): Boolean =
+        table[row.id]?.let { !it.acceptsWork || !it.isNewerThan(row) } ?: true
+
     /** Returns whether the departure [row] is recorded, so that it survives the loss of processes and disks. */
     public fun isRecorded(row: BackendRow): Boolean {
         val recorded = recordedDepartures[row.id] ?: return false
--- a/gentiandale-fleet/src/test/kotlin/gentiandale/fleet/DepartureRecoveryTest.kt
+++ b/gentiandale-fleet/src/test/kotlin/gentiandale/fleet/DepartureRecoveryTest.kt
@@ -113,5 +113,14 @@
             assertFalse(hub.isRecorded(row(BackendState.LEAVING, 6)))
             assertNull(hub.find(ServerId("i-2")))
         }
+
+        @Test
+        fun `is not due while a later start of the server takes work`() {
+            hub.onHeartbeat(row(BackendState.READY, 1, born = 6))
+            hub.onHeartbeat(row(BackendState.LEAVING, 2, born = 5))
+            assertFalse(hub.isInForce(row(BackendState.LEAVING, 2, born = 5)))
+            hub.onHeartbeat(row(BackendState.LEAVING, 2, born = 6))
+            assertTrue(hub.isInForce(row(BackendState.LEAVING, 2, born = 6)))
+        }
     }
 }
