Log the connection, its use and the bytes of each answer

The log could not tell a second answer on a used connection from a lost one, nor who ended a caller's connection. No decision changes here.

- ended: connection to the server and number of its use, bytes that servers sent and bytes that the caller got, connection of the caller and its use.
- send-failed: connection and use.
- stray-answer, and gentiandale_stray_answers_total by kind: an answer with a foreign id or none, bytes while none is due, bytes that are no answer.
- caller-cut: which connection, whether a request was on it; also after an error, which closed the connection without a line before.

The lines are the present ones with more fields; stray-answer is written once for each connection, which is closed or not used again.

--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/Relay.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/Relay.kt
@@ -31,6 +31,7 @@
 import gentiandale.relay.request.endToEnd
 import gentiandale.relay.routing.RoutingTable
 import gentiandale.relay.routing.drawService
+import gentiandale.relay.upstream.ConnectionObserver
 import gentiandale.relay.upstream.Dialect
 import gentiandale.relay.upstream.Transport
 import gentiandale.relay.upstream.Upstreams
@@ -66,7 +67,8 @@
     private val random: Random = Random.Default,
 ) : HttpServerHandler {
     private val registry = BackendRegistry()
-    private val upstreams = Upstreams(transport, dialect, clock::monotonicMs, ::connectionLimit)
+    private val upstreams =
+        Upstreams(transport, dialect, ConnectionObserver(log, stats), clock::monotonicMs, ::connectionLimit)
     private val budgets = HashMap<ServiceName, RetryBudget>()
     private var isReportScheduled = false
     private var shutdown: ShutdownWindow? = null
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/RelayEvent.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/RelayEvent.kt
@@ -1,5 +1,6 @@
 package gentiandale.relay
 
+import gentiandale.core.Address
 import gentiandale.core.ServerId
 import gentiandale.core.backend.AssignedLoad
 import gentiandale.core.backend.BackendRow
@@ -10,6 +11,7 @@
 import gentiandale.core.log.LogLine
 import gentiandale.relay.backend.GenerationMemory
 import gentiandale.relay.upstream.GenerationSize
+import gentiandale.relay.upstream.StrayAnswer
 
 /** Log events of the relay. */
 public sealed class RelayEvent(override val name: String) : LogEvent {
@@ -22,10 +24,21 @@
         }
     }
 
-    /** A connection of a caller was closed because of [reason]. */
-    public class CallerCut(private val from: String?, private val reason: String) : RelayEvent("caller-cut") {
+    /**
+     * This VM closed a connection of a caller because of [reason].
+     *
+     * @param caller last use of the connection.
+     * @param isBusy whether a request was being read or served on it.
+     */
+    public class CallerCut(
+        private val from: String?,
+        private val reason: String,
+        private val caller: ConnectionUse,
+        private val isBusy: Boolean,
+    ) : RelayEvent("caller-cut") {
         override fun describe(line: LogLine) {
-            line.field("from", from).field("reason", reason)
+            line.field("from", from).field("reason", reason).field("caller_connection", caller.connection)
+                .field("caller_use", caller.use).field("busy", isBusy)
         }
     }
 
@@ -63,6 +76,7 @@
      * A server failed or rejected a request.
      *
      * @param events events of a stream that this send has yielded, or null if none were expected.
+     * @param use use of the connection, or null if the request was not sent.
      */
     public class SendFailed(
         private val request: String?,
@@ -71,10 +85,31 @@
         private val reason: String,
         private val elapsedMs: Long,
         private val events: Int? = null,
+        private val use: ConnectionUse? = null,
     ) : RelayEvent("send-failed") {
         override fun describe(line: LogLine) {
             line.field("request", request).field("step", operation).field("server", server.value)
                 .field("reason", reason).field("elapsed_ms", elapsedMs).field("events", events)
+                .field("connection", use?.connection).field("use", use?.use)
+        }
+    }
+
+    /**
+     * The server at [address] sent bytes that are not the answer which was due on its connection.
+     *
+     * @param expected id of the request whose answer was due, or null if none was.
+     * @param received id in the answer that came, or null.
+     */
+    public class StrayAnswerRead(
+        private val kind: StrayAnswer,
+        private val address: Address,
+        private val use: ConnectionUse,
+        private val expected: String?,
+        private val received: String?,
+    ) : RelayEvent("stray-answer") {
+        override fun describe(line: LogLine) {
+            line.field("request", expected).field("kind", kind.label).field("address", address.toString())
+                .field("connection", use.connection).field("use", use.use).field("received", received)
         }
     }
 
@@ -216,6 +251,7 @@
      * @param outcome how the request ended.
      * @param reason why the request was not answered, or null.
      * @param answer what the caller received.
+     * @param caller use of the connection of the caller, or null.
      */
     public class Ended(
         private val request: String?,
@@ -226,6 +262,7 @@
         private val attempts: Int,
         private val elapsedMs: Long,
         private val answer: AnswerSummary = AnswerSummary(),
+        private val caller: ConnectionUse? = null,
     ) : RelayEvent("ended") {
         override val isFailure: Boolean get() = outcome != "answered"
 
@@ -233,7 +270,10 @@
             line.field("request", request).field("route", route).field("outcome", outcome).field("status", status)
                 .field("reason", reason).field("attempts", attempts).field("elapsed_ms", elapsedMs)
                 .field("first_ms", answer.firstMs).field("last_event", answer.lastEvent).field("gap_ms", answer.gapMs)
-                .field("framing", answer.framing?.label)
+                .field("framing", answer.framing?.label).field("connection", answer.source?.connection)
+                .field("use", answer.source?.use).field("read_bytes", answer.readBytes)
+                .field("sent_bytes", answer.sentBytes)
+                .field("caller_connection", caller?.connection).field("caller_use", caller?.use)
         }
     }
 
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/RelayMetrics.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/RelayMetrics.kt
@@ -31,6 +31,11 @@
         .help("Answers of servers that reached their end, by how that is marked and by whether the answer was whole.")
         .labelNames("framing", "whole")
         .register(registry)
+    private val strayAnswers = Counter.builder()
+        .name("gentiandale_stray_answers_total")
+        .help("Bytes of servers that were not the answer which was due, by kind.")
+        .labelNames("kind")
+        .register(registry)
     private val suspectedCrashes = Counter.builder()
         .name("gentiandale_suspected_crashes_total")
         .help("Requests at a server that crashed before it had established their answer.")
@@ -64,6 +69,10 @@
         serverAnswers.labelValues(framing, isWhole.toString()).inc()
     }
 
+    override fun onStrayAnswer(kind: String) {
+        strayAnswers.labelValues(kind).inc()
+    }
+
     override fun onSuspectedCrash() {
         suspectedCrashes.inc()
     }
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/RelayStats.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/RelayStats.kt
@@ -17,6 +17,9 @@
     /** Records an answer of a server that reached the end that its [framing] shows, and whether it [isWhole]. */
     public fun onServerAnswer(framing: String, isWhole: Boolean)
 
+    /** Records bytes of a server that are not the answer which was due, as named by [kind]. */
+    public fun onStrayAnswer(kind: String)
+
     /** Records that a server crashed before the answer to a request of this VM was established. */
     public fun onSuspectedCrash()
 
@@ -37,6 +40,8 @@
 
             override fun onServerAnswer(framing: String, isWhole: Boolean) = Unit
 
+            override fun onStrayAnswer(kind: String) = Unit
+
             override fun onSuspectedCrash() = Unit
 
             override fun onQuarantined() = Unit
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/caller/HttpServer.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/caller/HttpServer.kt
@@ -24,6 +24,7 @@
     private val connections = LinkedHashSet<HttpServerConnection>()
     private var listening: Channel? = null
     private var lastActivityMs = 0L
+    private var opened = 0L
 
     /** Whether answers ask clients to close the connection. Set on the event loop. */
     public var isDraining: Boolean = false
@@ -67,6 +68,9 @@
         listening?.close()
     }
 
+    /** Returns the number of a new connection. */
+    internal fun nextNumber(): Long = ++opened
+
     internal fun onActivity() {
         lastActivityMs = nowMs()
     }
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/caller/HttpServerConnection.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/caller/HttpServerConnection.kt
@@ -1,6 +1,7 @@
 package gentiandale.relay.caller
 
 import gentiandale.core.log.EventLog
+import gentiandale.relay.ConnectionUse
 import gentiandale.relay.RelayEvent
 import gentiandale.relay.routing.HttpServerLimits
 import io.netty.buffer.ByteBuf
@@ -29,6 +30,7 @@
 import io.netty.handler.codec.http.TooLongHttpHeaderException
 import io.netty.handler.codec.http.TooLongHttpLineException
 import io.netty.util.ReferenceCountUtil
+import java.io.IOException
 import java.util.concurrent.ScheduledFuture
 import java.util.concurrent.TimeUnit
 
@@ -50,6 +52,8 @@
     private var current: Reply? = null
     private var timer: ScheduledFuture<*>? = null
     private var isClosing = false
+    private val number = server.nextNumber()
+    private var requests = 0
 
     /** Whether a request is being read or served. */
     val isBusy: Boolean get() = head != null || current != null || pendingParts.isNotEmpty()
@@ -100,9 +104,16 @@
     }
 
     override fun exceptionCaught(ctx: ChannelHandlerContext, cause: Throwable) {
+        // Callers that leave without a request reset their connection at any time.
+        if (isBusy || cause !is IOException) logCut("failed: $cause")
         ctx.close()
     }
 
+    private fun logCut(reason: String) {
+        val from = channel.remoteAddress()?.toString()
+        log.write(RelayEvent.CallerCut(from, reason, ConnectionUse(number, requests), isBusy))
+    }
+
     /** Closes the connection. */
     fun close() {
         channel.close()
@@ -153,7 +164,14 @@
         timer?.cancel(false)
         val reply = Reply(HttpUtil.isKeepAlive(request), request.protocolVersion() == HttpVersion.HTTP_1_0)
         current = reply
-        val complete = HttpServerRequest(request.method(), request.uri(), request.headers(), received, headReceivedMs)
+        val complete = HttpServerRequest(
+            request.method(),
+            request.uri(),
+            request.headers(),
+            received,
+            headReceivedMs,
+            ConnectionUse(number, ++requests),
+        )
         val onDisconnected = service.serve(complete, reply)
         if (current === reply) reply.onDisconnected = onDisconnected
     }
@@ -193,7 +211,7 @@
     }
 
     private fun abort(reason: String) {
-        log.write(RelayEvent.CallerCut(channel.remoteAddress()?.toString(), reason))
+        logCut(reason)
         isClosing = true
         channel.close()
     }
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/caller/HttpServerRequest.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/caller/HttpServerRequest.kt
@@ -1,5 +1,6 @@
 package gentiandale.relay.caller
 
+import gentiandale.relay.ConnectionUse
 import io.netty.buffer.ByteBuf
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpMethod
@@ -9,6 +10,7 @@
  *
  * @param target path and query as sent by the client.
  * @param startMs monotonic time in milliseconds at which the headers were complete.
+ * @param source use of the connection by which it came.
  */
 public class HttpServerRequest(
     public val method: HttpMethod,
@@ -16,6 +18,7 @@
     public val headers: HttpHeaders,
     public val body: ByteBuf,
     public val startMs: Long,
+    public val source: ConnectionUse,
 )
 
 /** Sends the answer to one request. Each request gets one final answer. */
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/CallerStream.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/CallerStream.kt
@@ -26,13 +26,13 @@
     fun forward(event: StreamEvent, head: HttpResponse) {
         begin(head)
         event.id?.let { lastEventId = it }
-        progress.onPart(nowMs(), event.id)
+        progress.onPart(nowMs(), event.bytes.readableBytes(), event.id)
         reply.part(event.bytes)
     }
 
     /** Ends the answer with [head]; [remainder] holds the empty lines and comments after the last event. */
     fun end(remainder: ByteBuf, head: HttpResponse) {
-        if (!hasBegun) progress.onPart(nowMs())
+        if (!hasBegun || remainder.isReadable) progress.onPart(nowMs(), remainder.readableBytes())
         begin(head)
         if (remainder.isReadable) reply.part(remainder) else remainder.release()
         reply.end()
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/PlainRequestHandler.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/PlainRequestHandler.kt
@@ -170,6 +170,7 @@
                 if (!isForwarded) return BodyVerdict.GiveUp("unusable answer over $MAX_BUFFERED_BYTES bytes")
                 beginForwarding()
             }
+            progress.onPart(context.nowMs(), content.readableBytes())
             routed.reply.part(content.retain())
             return BodyVerdict.Continue
         }
@@ -187,7 +188,7 @@
             if (context.dialect.isNotExecuted(status, answer.headers())) return onRejected(status)
             crashSuspect.onAnswered(server)
             if (!isFinal()) return onBadAnswer(status)
-            progress.onPart(context.nowMs())
+            progress.onPart(context.nowMs(), body.content.readableBytes())
             routed.reply.answer(status, answer.headers().endToEnd(), body.take())
             finish("answered", status)
         }
@@ -258,7 +259,7 @@
         private fun beginForwarding() {
             val answer = head ?: return
             hasBegunAnswer = true
-            progress.onPart(context.nowMs())
+            progress.onPart(context.nowMs(), body.content.readableBytes())
             routed.reply.begin(answer.status().code(), answer.headers().endToEnd())
             routed.reply.part(body.take())
         }
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/RequestHandler.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/RequestHandler.kt
@@ -144,6 +144,7 @@
                 attempts,
                 elapsedMs,
                 answer,
+                routed.request.source,
             ),
         )
         context.stats.onEnded(route.name, route.urgency, outcome, elapsedMs, answer.firstMs)
@@ -264,7 +265,15 @@
             lastReason = "${server.row.id}: $reason"
             val elapsedMs = sentMs?.let { context.nowMs() - it } ?: 0
             context.log.write(
-                RelayEvent.SendFailed(routed.id, operation, server.row.id, reason, elapsedMs, handler.eventCount),
+                RelayEvent.SendFailed(
+                    routed.id,
+                    operation,
+                    server.row.id,
+                    reason,
+                    elapsedMs,
+                    handler.eventCount,
+                    exchange?.use,
+                ),
             )
         }
 
@@ -303,6 +312,7 @@
         override fun onContent(content: ByteBuf) {
             server.lastByteMs = context.nowMs()
             if (isDone) return
+            progress.onRead(content.readableBytes())
             when (val verdict = handler.onContent(content)) {
                 is BodyVerdict.Continue -> pauseIfCallerIsSlow()
                 is BodyVerdict.GiveUp -> giveUp(verdict.reason)
@@ -328,7 +338,7 @@
 
         override fun onEnd(framing: AnswerFraming) {
             if (isDone) return
-            progress.onAnswerEnd(framing)
+            progress.onAnswerEnd(framing, exchange?.use)
             when (val end = handler.judgeEnd(framing)) {
                 is AnswerEnd.Whole -> onWhole(framing)
                 is AnswerEnd.BrokenOff -> onBrokenOff(framing, end.reason)
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/upstream/Exchange.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/upstream/Exchange.kt
@@ -1,5 +1,6 @@
 package gentiandale.relay.upstream
 
+import gentiandale.relay.ConnectionUse
 import io.netty.buffer.ByteBuf
 import io.netty.handler.codec.http.FullHttpRequest
 import io.netty.handler.codec.http.HttpResponse
@@ -47,6 +48,10 @@
 ) {
     internal var connection: UpstreamConnection? = null
 
+    /** Use of the connection by which the request was sent, or null before that. */
+    public var use: ConnectionUse? = null
+        internal set
+
     /** Whether the listener gets no further calls. */
     internal var isOver: Boolean = false
 
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/upstream/ServerConnectionPool.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/upstream/ServerConnectionPool.kt
@@ -13,9 +13,10 @@
  * @param maxConnections returns the maximum number of connections of this VM to the server.
  */
 internal class ServerConnectionPool(
-    private val address: Address,
+    val address: Address,
     private val transport: Transport,
     private val dialect: Dialect,
+    val observer: ConnectionObserver,
     val nowMs: () -> Long,
     private val maxConnections: () -> Int,
 ) {
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/upstream/UpstreamConnection.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/upstream/UpstreamConnection.kt
@@ -1,5 +1,6 @@
 package gentiandale.relay.upstream
 
+import gentiandale.relay.ConnectionUse
 import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
@@ -24,6 +25,7 @@
     private val dialect: Dialect,
     private val pool: ServerConnectionPool,
 ) : ChannelInboundHandlerAdapter() {
+    private val number = pool.observer.nextNumber()
     private var exchange: Exchange? = null
     private var isRequestWritten = false
     private var isAnswerComplete = false
@@ -59,6 +61,7 @@
         isRequestWritten = false
         isAnswerComplete = false
         sentCount++
+        next.use = ConnectionUse(number, sentCount)
         interimCount = 0
         // Nothing tells the answer to a request without an id from a late copy of an earlier one.
         if (next.requestId == null) isTainted = true
@@ -89,8 +92,14 @@
     private fun read(message: HttpObject) {
         val current = exchange?.takeIf { !isAnswerComplete }
         when {
-            message.decoderResult().isFailure -> fail("malformed answer: ${message.decoderResult().cause()?.message}")
-            current == null -> close()
+            message.decoderResult().isFailure -> {
+                noteStray(StrayAnswer.MALFORMED, null)
+                fail("malformed answer: ${message.decoderResult().cause()?.message}")
+            }
+            current == null -> {
+                if (!isTainted) noteStray(StrayAnswer.SURPLUS, (message as? HttpResponse)?.let(::idOf))
+                close()
+            }
             message is HttpResponse -> readHead(current, message)
             else -> Unit
         }
@@ -103,11 +112,12 @@
             if (++interimCount > MAX_INTERIM_ANSWERS) fail("more than $MAX_INTERIM_ANSWERS interim answers")
             return
         }
-        val answerId = dialect.requestId(head.headers())
+        val answerId = idOf(head)
         val mayOmitId = answerId == null && sentCount == 1 && head.status().codeClass() != HttpStatusClass.SUCCESS
         isForeignAnswer = current.requestId != null && answerId != current.requestId && !mayOmitId
         if (isForeignAnswer) {
             isTainted = true
+            noteStray(if (answerId == null) StrayAnswer.NO_ID else StrayAnswer.FOREIGN, answerId)
             if (answerId == null) fail("answer without the request id")
             return
         }
@@ -116,6 +126,11 @@
         if (!current.isOver) current.listener.onHead(head)
     }
 
+    private fun idOf(head: HttpResponse) = dialect.requestId(head.headers())
+
+    private fun noteStray(kind: StrayAnswer, answerId: String?) =
+        pool.observer.onStray(kind, pool.address, ConnectionUse(number, sentCount), exchange?.requestId, answerId)
+
     private fun readContent(part: HttpContent) {
         val current = exchange ?: return
         val isCurrentAnswer = !isForeignAnswer && !isInterimAnswer
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/upstream/Upstreams.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/upstream/Upstreams.kt
@@ -8,6 +8,7 @@
 internal class Upstreams(
     private val transport: Transport,
     private val dialect: Dialect,
+    private val observer: ConnectionObserver,
     private val nowMs: () -> Long,
     private val maxConnections: (Backend) -> Int,
 ) {
@@ -40,7 +41,7 @@
     }
 
     private fun poolOf(backend: Backend) = pools.getOrPut(keyOf(backend)) {
-        ServerConnectionPool(backend.row.address, transport, dialect, nowMs) { maxConnections(backend) }
+        ServerConnectionPool(backend.row.address, transport, dialect, observer, nowMs) { maxConnections(backend) }
     }
 
     private fun keyOf(backend: Backend) = with(backend.row) { Key(id, address, incarnation.value) }
