Refuse generations that still wait when a stopping process ends

What callers saw: a generation that was queued for engine capacity while its entry VM stopped ended with its connection, without an answer (LOST).

Cause: the end of a shutdown bounds the deadline of plain requests only, and only of those accepted after the signal. The queue of generations, a prefill without a decode place and a plain call that waits for a place or a permit were left to the end of the process.

Ruled out: the admission of streams after the signal (2.5 s), which the queue outlasts by up to 3.2 targets, 6.4 s for a target of 2 s.

Fix: one second before the end, and again right before it, every request that no server can have started is refused with 503 and a time to retry; one that may have run and that no server works on is answered with 502. Requests at which a server works are left alone.

--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/Relay.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/Relay.kt
@@ -225,9 +225,17 @@
         }
     }
 
-    /** From now on refuses requests that can't finish before the end of [shutdown]. */
+    /** From now on refuses requests that can't finish before the end of [shutdown], also those that still wait then. */
     public fun beginShutdown(shutdown: ShutdownWindow) {
         this.shutdown = shutdown
+        listOf(shutdown.lastAdmissionMs, shutdown.plainDeadlineMs).forEach { atMs ->
+            val delayMs = (atMs - clock.monotonicMs()).coerceAtLeast(0)
+            transport.loop.schedule(
+                { context.active.toList().forEach { it.onProcessEnding() } },
+                delayMs,
+                TimeUnit.MILLISECONDS,
+            )
+        }
     }
 
     /** Merges [row] into the registry and returns the rows that changed. */
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/ShutdownWindow.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/ShutdownWindow.kt
@@ -10,12 +10,15 @@
     /** Monotonic time in milliseconds by which plain requests that are accepted in the window get their answer. */
     internal val plainDeadlineMs: Long get() = endMs - ANSWER_MARGIN_MS
 
+    /** Monotonic time in milliseconds after which no request is sent to a server for the first time. */
+    internal val lastAdmissionMs: Long get() = endMs - MIN_PLAIN_TIME_MS
+
     /** Returns whether a request that starts at [nowMs] can be finished; [isStream] if it is an event stream. */
     public fun allows(isStream: Boolean, nowMs: Long): Boolean =
         if (isStream) nowMs - sinceMs <= STREAM_ADMISSION_MS else !isEnding(nowMs)
 
     /** Returns whether the window is too close to its end for further requests at [nowMs]. */
-    internal fun isEnding(nowMs: Long): Boolean = endMs - nowMs < MIN_PLAIN_TIME_MS
+    internal fun isEnding(nowMs: Long): Boolean = nowMs > lastAdmissionMs
 
     private companion object {
         /** Streams last several seconds; the load balancer needs two to three to send callers elsewhere. */
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/RelayContext.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/RelayContext.kt
@@ -49,6 +49,9 @@
     /** Returns the monotonic time in milliseconds. */
     val nowMs: () -> Long = clock::monotonicMs
 
+    /** Handlers of the requests that have no final answer yet. */
+    val active = LinkedHashSet<RequestHandler>()
+
     /** Plain calls of this VM that wait because all servers were full. */
     var waitingCalls = 0
     val queue = GenerationQueue(loop, nowMs)
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/RequestHandler.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/RequestHandler.kt
@@ -60,6 +60,7 @@
 
     /** Starts the deadline timer and dispatches the request. */
     fun start() {
+        context.active += this
         deadlineTimer = context.loop.schedule(::onDeadline, leftMs().coerceAtLeast(0), TimeUnit.MILLISECONDS)
         context.budgetOf(routed.service).onRequest(context.nowMs())
         dispatch()
@@ -70,6 +71,13 @@
         if (!isOver) finish("caller-left", null, "caller closed the connection")
     }
 
+    /** Ends the request, unless a server may work on it, since the process ends before it could be answered. */
+    fun onProcessEnding() {
+        if (isOver || running.any { it.exchange?.isSent == true && runState != RunState.NOT_RUN }) return
+        if (hasBegun()) return
+        if (runState == RunState.NOT_RUN) refuse(STOPPING, STOPPING_RETRY_MS) else fail(STOPPING)
+    }
+
     /** Returns the time in milliseconds until the deadline. */
     protected fun leftMs(): Long = routed.deadlineMs - context.nowMs()
 
@@ -127,6 +135,7 @@
 
     private fun complete(outcome: String, status: Int?, reason: String?) {
         isOver = true
+        context.active -= this
         deadlineTimer?.cancel(false)
         running.toList().forEach { it.cancel() }
         permits.release()
@@ -390,6 +399,10 @@
         const val BAD_GATEWAY = 502
         const val GATEWAY_TIMEOUT = 504
         const val MS_PER_S = 1_000.0
+        const val STOPPING = "shutting down before a server has started the request"
+
+        /** Time in milliseconds after which a caller may retry; another VM answers it. */
+        const val STOPPING_RETRY_MS = 300L
         const val NO_PERMIT = "no permit left under the request limit of the server"
 
         /** Statuses by which a caller may conclude that the request has not run. */
--- a/gentiandale-relay/src/test/kotlin/gentiandale/relay/GracefulShutdownTest.kt
+++ b/gentiandale-relay/src/test/kotlin/gentiandale/relay/GracefulShutdownTest.kt
@@ -1,5 +1,6 @@
 package gentiandale.relay
 
+import gentiandale.core.ServerKind
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Nested
 import java.net.ConnectException
@@ -78,6 +79,22 @@
         }
     }
 
+    @Nested
+    inner class QueuedGenerations {
+        @Test
+        fun `a generation that no engine has started is refused before the process ends`() {
+            val engine = relay.server("d", ServerKind.DECODE) { request, socket ->
+                FakeServer.stream(socket, request, 1..3)
+            }
+            relay.reportPeerLoad("d", memoryTokens = FULL_TOKENS)
+            val answer = CompletableFuture.supplyAsync { relay.get("/stream/1") }
+            Thread.sleep(100)
+            assertTrue(shutDownLater(limitMs = 2_000).get())
+            assertTrue(answer.get(1, TimeUnit.SECONDS).startsWith("HTTP/1.1 503"))
+            assertEquals(0, engine.requests.size)
+        }
+    }
+
     @Nested
     inner class Connections {
         @Test
@@ -103,5 +120,8 @@
 
     private companion object {
         const val LIMIT_MS = 5_000L
+
+        /** Memory of an engine that takes no further generation. */
+        const val FULL_TOKENS = 10_000L
     }
 }
