Keep one timer for a call that waits for a permit

What callers saw: a call that must not be repeated ran twice at a server with a request limit, 100 ms apart.

Cause: the timer that looks for permits lets the call continue and then sets itself again if the call waits. If the call waits again by then, since the server that it found had no connection left, it has already set a new timer; the second one replaces it, and nobody cancels the first. That one dispatches the call once more while its send is running, as soon as another permit is left.

Ruled out: a permit used twice (RequestLimit.take counts them) and a retry (the server had answered nothing, and the call is not repeated by its route).

The timer now sets itself again only if the call didn't continue; a call that waits again sets its own.

--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/PlainRequestHandler.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/PlainRequestHandler.kt
@@ -74,18 +74,19 @@
             return refuseOrFail(reason)
         }
         permitTimer = context.loop.schedule({
-            onPermits()
-            if (this in context.permitQueue) awaitPermitUntil(endMs, reason)
+            if (hasPermit()) onPermits() else awaitPermitUntil(endMs, reason)
         }, minOf(leftMs, PERMIT_RECHECK_MS), TimeUnit.MILLISECONDS)
     }
 
+    private fun hasPermit() = allowedServers().any { it.row.id !in tried }
+
     private fun stopWaitingForPermit() {
         permitTimer?.cancel(false)
         context.permitQueue.remove(this)
     }
 
     override fun onPermits() {
-        if (allowedServers().none { it.row.id !in tried }) return
+        if (!hasPermit()) return
         stopWaitingForPermit()
         dispatch()
     }
--- a/gentiandale-relay/src/test/kotlin/gentiandale/relay/RelayFixture.kt
+++ b/gentiandale-relay/src/test/kotlin/gentiandale/relay/RelayFixture.kt
@@ -1,6 +1,7 @@
 package gentiandale.relay
 
 import gentiandale.core.Address
+import gentiandale.core.Incarnation
 import gentiandale.core.ServerId
 import gentiandale.core.ServerKind
 import gentiandale.core.SystemClock
@@ -22,8 +23,16 @@
 import java.net.Socket
 import java.util.concurrent.CopyOnWriteArrayList
 
-/** A relay on the loopback interface with its own event loop; it logs to [log]. */
-class RelayFixture(limits: HttpServerLimits = HttpServerLimits(), log: EventLog = EventLog.NONE) : AutoCloseable {
+/**
+ * A relay on the loopback interface with its own event loop; it logs to [log].
+ *
+ * @param maxConnections limit of the service, of which the relay uses a part.
+ */
+class RelayFixture(
+    limits: HttpServerLimits = HttpServerLimits(),
+    log: EventLog = EventLog.NONE,
+    maxConnections: Int = 100,
+) : AutoCloseable {
     private val transport = Transport()
     private val relay = Relay(RelaySettings(HOME, 1.0, 100, 10_000), transport, TestDialect, SystemClock, log)
     private val server = HttpServer(transport, SystemClock::monotonicMs, { limits }, relay, log)
@@ -42,7 +51,7 @@
             route("/stream-once/", Repetition.AT_MOST_ONCE, attempts = 1, stream = true),
         )
         val engine = EngineRule(places = 8, memoryTokens = 10_000, tokenBytes = 1, handleLifetimeMs = 500)
-        relay.install(RoutingTable(1, routes, listOf(ServiceRule(SERVICE, 100, engine)), limits))
+        relay.install(RoutingTable(1, routes, listOf(ServiceRule(SERVICE, maxConnections, engine)), limits))
         port = server.listen(Address("127.0.0.1", 0))
     }
 
@@ -107,6 +116,11 @@
         transport.loop.submit { relay.mergeLimits(statements) }.get()
     }
 
+    /** Grants [count] permits for requests to the server [id], as a control VM does. */
+    fun grantPermits(id: String, count: Int) {
+        transport.loop.submit { relay.grantPermits(ServerId(id), Incarnation(1), count, PERMIT_VALIDITY_MS) }.get()
+    }
+
     /** Merges [records], as from a control VM. */
     fun mergeCrashes(records: List<CrashRecord>) {
         transport.loop.submit { relay.mergeCrashes(records) }.get()
