Return a send before its listener is called

Cause: a send that fails at once, for example since all connections to the server are in use, called the handler before it returned. The handler started the next send from there; then the outer step completed, kept the failed send as the current one and replaced the timer of the live send by one for the failed one. After the next pause that timer started the request again, recorded the failure of the wrong server and cancelled a send that had ended long before, so that two runs went on.

Ruled out: the timers of plain calls, which belong to one send each and do nothing once it is done; the queue of generations, whose entry is outside the queue while it starts; the reply of a control VM to a reservation, which is taken once.

The pool now places a request in a later task of the event loop, so a listener is called only after the exchange has been returned. This covers every failure of that kind: no connection left, no permit, a server that no longer accepts work, and a write that fails at once.

--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/upstream/Exchange.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/upstream/Exchange.kt
@@ -17,7 +17,10 @@
     public data class Broken(override val reason: String) : SendFailure
 }
 
-/** Receives the answer to one request on the event loop. [onEnd] or [onFailure] is the last call. */
+/**
+ * Receives the answer to one request on the event loop. The first call comes after the exchange has been returned to
+ * the sender; [onEnd] or [onFailure] is the last one.
+ */
 public interface AnswerListener {
     /** Called once a connection is ready; returns the request to write, or null if it must no longer be sent. */
     public fun onConnected(): FullHttpRequest?
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/upstream/ServerConnectionPool.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/upstream/ServerConnectionPool.kt
@@ -29,9 +29,14 @@
 
     /**
      * Sends the request of [exchange] over a connection that has been idle for at most [maxIdleMs] milliseconds and has
-     * not carried the request before, or over a new one.
+     * not carried the request before, or over a new one. Returns before the listener of [exchange] is called, which may
+     * start the next send at once.
      */
     fun send(exchange: Exchange, maxIdleMs: Long) {
+        transport.loop.execute { if (!exchange.isOver) place(exchange, maxIdleMs) }
+    }
+
+    private fun place(exchange: Exchange, maxIdleMs: Long) {
         val ready = takeIdle(maxIdleMs, exchange.carriers)
         when {
             ready != null -> start(exchange, ready)
