Answer a request whose handling fails and stop its servers

What callers saw: nothing until the route's timeout (504 after 5 s), or a connection that was closed without an answer.

Cause: an error in a step of a request was lost. In a timer it stayed in a future that nobody reads; in the last call of a listener the send was already over, so that no timer, send or queue entry was left but the deadline; in the start of a queued generation the entry was lost; before the dispatch it closed the caller's connection. No input that causes such an error is known.

Ruled out: errors in the head or body of an answer, which closed the connection to the server and counted as its failure.

All steps of a request run in a guard now: an error is logged as step-failed and ends the request with 502, or cuts an answer that has begun, and its sends are cancelled. An error before the dispatch is answered with 500 and the connection is kept. The load of a send is counted before it is logged, since a cancelled send takes it off.

--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/RelayEvent.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/RelayEvent.kt
@@ -24,6 +24,16 @@
         }
     }
 
+    /** Handling [request] failed with [error], and the request was ended. */
+    public class StepFailed(private val request: String?, private val error: Exception) : RelayEvent("step-failed") {
+        override val isFailure: Boolean get() = true
+
+        override fun describe(line: LogLine) {
+            line.field("request", request).field("error", error.toString())
+                .field("at", error.stackTrace.firstOrNull()?.toString())
+        }
+    }
+
     /**
      * This VM closed a connection of a caller because of [reason].
      *
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/caller/HttpServer.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/caller/HttpServer.kt
@@ -18,9 +18,10 @@
     private val transport: Transport,
     internal val nowMs: () -> Long,
     private val limits: () -> HttpServerLimits,
-    private val service: HttpServerHandler,
+    service: HttpServerHandler,
     private val log: EventLog,
 ) {
+    private val service = GuardedHttpServerHandler(service, log)
     private val connections = LinkedHashSet<HttpServerConnection>()
     private var listening: Channel? = null
     private var lastActivityMs = 0L
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/GenerationRequestHandler.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/GenerationRequestHandler.kt
@@ -15,7 +15,6 @@
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpStatusClass
 import io.netty.util.concurrent.ScheduledFuture
-import java.util.concurrent.TimeUnit
 
 /** Handles a request that is answered by an event stream, produced by a prefill and a decode server together. */
 internal class GenerationRequestHandler(routed: RoutedRequest, context: RelayContext) :
@@ -56,7 +55,10 @@
 
     override fun reject(reason: String) = refuseOrFail(reason)
 
-    override fun tryStart(): Boolean {
+    override fun tryStart(): Boolean = guard.execute(true, ::place)
+
+    /** Reserves capacity and goes on, or ends the request; returns false if there is no capacity. */
+    private fun place(): Boolean {
         if (endIfQuarantined()) return true
         val now = context.nowMs()
         val excluded = if (prefillCount < MAX_PREFILL_CALLS) tried else tried + prefillServers()
@@ -75,7 +77,7 @@
                 reservation.reserve(plan.decode)
                 promptReservation.reserve(plan.prefill ?: plan.decode)
                 logReserved(plan, now)
-                context.listener.confirmLoad { if (!isOver) onReservationConfirmed(plan) }
+                context.listener.confirmLoad { guard.execute { if (!isOver) onReservationConfirmed(plan) } }
             }
         }
         return true
@@ -109,7 +111,7 @@
         )
     }
 
-    override fun endIfQuarantined(): Boolean = endIfCrashSuspect()
+    override fun endIfQuarantined(): Boolean = guard.execute(true, ::endIfCrashSuspect)
 
     private fun prefillServers() =
         context.candidates(routed.service).filter { it.row.kind == ServerKind.PREFILL }.map { it.row.id }
@@ -183,8 +185,7 @@
     private fun watchEvents(send: Send, delayMs: Long, waitedMs: Long) {
         gapTimer?.cancel(false)
         if (route.repetition != Repetition.RESUMABLE || attempts > route.maxAttempts) return
-        gapTimer =
-            context.loop.schedule({ onEventGap(send, delayMs, waitedMs + delayMs) }, delayMs, TimeUnit.MILLISECONDS)
+        gapTimer = schedule(delayMs) { onEventGap(send, delayMs, waitedMs + delayMs) }
     }
 
     /**
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/PlainRequestHandler.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/PlainRequestHandler.kt
@@ -13,7 +13,6 @@
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpStatusClass
 import io.netty.util.concurrent.ScheduledFuture
-import java.util.concurrent.TimeUnit
 
 /** Handles a request whose answer is not an event stream. */
 internal class PlainRequestHandler(routed: RoutedRequest, context: RelayContext) :
@@ -73,9 +72,9 @@
             stopWaitingForPermit()
             return refuseOrFail(reason)
         }
-        permitTimer = context.loop.schedule({
+        permitTimer = schedule(minOf(leftMs, PERMIT_RECHECK_MS)) {
             if (hasPermit()) onPermits() else awaitPermitUntil(endMs, reason)
-        }, minOf(leftMs, PERMIT_RECHECK_MS), TimeUnit.MILLISECONDS)
+        }
     }
 
     private fun hasPermit() = allowedServers().any { it.row.id !in tried }
@@ -85,10 +84,11 @@
         context.permitQueue.remove(this)
     }
 
-    override fun onPermits() {
-        if (!hasPermit()) return
-        stopWaitingForPermit()
-        dispatch()
+    override fun onPermits() = guard.execute {
+        if (hasPermit()) {
+            stopWaitingForPermit()
+            dispatch()
+        }
     }
 
     /** Returns the servers that the request may be sent to: if its route allows no more, those that it was sent to. */
@@ -114,7 +114,7 @@
             is RejectionStep.Refuse -> refuseOrFail(reason)
             is RejectionStep.Wait -> {
                 context.waitingCalls++
-                waitTimer = context.loop.schedule(::afterWait, step.delayMs, TimeUnit.MILLISECONDS)
+                waitTimer = schedule(step.delayMs, ::afterWait)
             }
         }
     }
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/RequestHandler.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/RequestHandler.kt
@@ -51,6 +51,7 @@
     private val running = ArrayList<Send>(2)
     private val carriers = RequestCarriers()
     protected val permits = PermitHold(context.nowMs)
+    protected val guard = StepGuard(::onError)
 
     /** Chooses a server and sends the request, or ends it. */
     protected abstract fun dispatch()
@@ -61,21 +62,33 @@
     /** Starts the deadline timer and dispatches the request. */
     fun start() {
         context.active += this
-        deadlineTimer = context.loop.schedule(::onDeadline, leftMs().coerceAtLeast(0), TimeUnit.MILLISECONDS)
+        deadlineTimer = schedule(leftMs().coerceAtLeast(0), ::onDeadline)
         context.budgetOf(routed.service).onRequest(context.nowMs())
-        dispatch()
+        guard.execute(::dispatch)
+    }
+
+    /** Schedules [step] of the request in [delayMs] milliseconds. */
+    protected fun schedule(delayMs: Long, step: () -> Unit): ScheduledFuture<*> =
+        context.loop.schedule({ guard.execute(step) }, delayMs, TimeUnit.MILLISECONDS)
+
+    private fun onError(error: Exception) {
+        context.log.write(RelayEvent.StepFailed(routed.id, error))
+        if (isOver) running.toList().forEach { it.cancel() } else fail("internal error: $error")
     }
 
     /** Ends the request because the caller has closed its connection. */
     fun onCallerLeft() {
-        if (!isOver) finish("caller-left", null, "caller closed the connection")
+        if (!isOver) guard.execute { finish("caller-left", null, "caller closed the connection") }
     }
 
     /** Ends the request, unless a server may work on it, since the process ends before it could be answered. */
-    fun onProcessEnding() {
-        if (isOver || running.any { it.exchange?.isSent == true && runState != RunState.NOT_RUN }) return
-        if (hasBegun()) return
-        if (runState == RunState.NOT_RUN) refuse(STOPPING, STOPPING_RETRY_MS) else fail(STOPPING)
+    fun onProcessEnding() = guard.execute {
+        val isRunning = runState != RunState.NOT_RUN && running.any { it.exchange?.isSent == true }
+        when {
+            isOver || isRunning || hasBegun() -> Unit
+            runState == RunState.NOT_RUN -> refuse(STOPPING, STOPPING_RETRY_MS)
+            else -> fail(STOPPING)
+        }
     }
 
     /** Returns the time in milliseconds until the deadline. */
@@ -213,6 +226,7 @@
     protected fun send(server: Backend, operation: String, maxIdleMs: Long, handler: SendHandler): Send {
         val send = Send(server, operation, handler)
         running += send
+        server.running++
         val passedOver = tried.joinToString(",") { it.value }.ifEmpty { null }
         context.log.write(
             RelayEvent.Placed(
@@ -228,8 +242,7 @@
                 server.limit.perSecond(context.nowMs()),
             ),
         )
-        server.running++
-        send.exchange = context.upstreams.send(server, routed.id, maxIdleMs, carriers, send)
+        send.exchange = context.upstreams.send(server, routed.id, maxIdleMs, carriers, guard.guarded(send))
         return send
     }
 
@@ -251,7 +264,7 @@
         /** Schedules [action] in [delayMs] milliseconds; the head or the end of the answer cancels it. */
         fun ifUnanswered(delayMs: Long, action: () -> Unit) {
             timer?.cancel(false)
-            timer = context.loop.schedule({ if (!isDone) action() }, delayMs, TimeUnit.MILLISECONDS)
+            timer = schedule(delayMs) { if (!isDone) action() }
         }
 
         /** Cancels the send; the server stops when its connection is closed. */
@@ -352,7 +365,7 @@
                 is AnswerEnd.Whole -> onWhole(framing)
                 is AnswerEnd.BrokenOff -> onBrokenOff(framing, end.reason)
                 is AnswerEnd.Unproven -> context.upstreams.crashes.checkOnce(server.row.address) { isRefused ->
-                    if (!isDone) onChecked(framing, isRefused)
+                    guard.execute { if (!isDone) onChecked(framing, isRefused) }
                 }
             }
         }
