Write no chunk behind the answer to HEAD

What callers saw: on the route of a stream, the answer to HEAD is followed by "0\r\n\r\n", five bytes that are no answer; the next answer on the connection is read from there.

Cause: an answer that is forwarded in parts is chunked, and the encoder, which doesn't see requests, wrote the end of the chunks for HEAD too.

Ruled out: plain routes, whose answers are written with a length of 0, and answers with 204 or 304, which the encoder knows by their status.

The encoder of a connection is told whether the response that is due answers HEAD, and writes its head only. The statuses of malformed requests have moved to the decoder.

CallerConnectionTest, "the answer on the route of a stream has no body", failed before the change: the head of the next answer began with "0".

--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/caller/HttpServer.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/caller/HttpServer.kt
@@ -7,7 +7,6 @@
 import io.netty.channel.Channel
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.socket.SocketChannel
-import io.netty.handler.codec.http.HttpResponseEncoder
 
 /**
  * HTTP server for callers, backend servers, operators, metrics scrapes and readiness checks.
@@ -44,10 +43,11 @@
         val bootstrap = transport.server().childHandler(object : ChannelInitializer<SocketChannel>() {
             override fun initChannel(channel: SocketChannel) {
                 val present = limits()
+                val encoder = HttpServerResponseEncoder()
                 channel.pipeline().addLast(
                     HttpServerRequestDecoder(present),
-                    HttpResponseEncoder(),
-                    HttpServerConnection(channel, present, service, this@HttpServer, log),
+                    encoder,
+                    HttpServerConnection(channel, encoder, present, service, this@HttpServer, log),
                 )
             }
         })
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/caller/HttpServerConnection.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/caller/HttpServerConnection.kt
@@ -21,14 +21,13 @@
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaderValues
 import io.netty.handler.codec.http.HttpHeaders
+import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
-import io.netty.handler.codec.http.TooLongHttpHeaderException
-import io.netty.handler.codec.http.TooLongHttpLineException
 import io.netty.util.ReferenceCountUtil
 import java.io.IOException
 import java.util.concurrent.ScheduledFuture
@@ -40,6 +39,7 @@
  */
 internal class HttpServerConnection(
     private val channel: Channel,
+    private val encoder: HttpServerResponseEncoder,
     private val limits: HttpServerLimits,
     private val service: HttpServerHandler,
     private val server: HttpServer,
@@ -117,7 +117,7 @@
 
     private fun readPart(part: HttpObject) {
         try {
-            if (part.decoderResult().isFailure) return refuseMalformed(part.decoderResult().cause())
+            if (part.decoderResult().isFailure) return refuse(statusOf(part.decoderResult().cause()))
             if (part is HttpRequest) begin(part)
             if (part is HttpContent && head != null) append(part)
         } finally {
@@ -160,6 +160,7 @@
         timer?.cancel(false)
         val reply = Reply(HttpUtil.isKeepAlive(request), request.protocolVersion() == HttpVersion.HTTP_1_0)
         current = reply
+        encoder.isHead = request.method() == HttpMethod.HEAD
         val complete = HttpServerRequest(
             request.method(),
             request.uri(),
@@ -191,14 +192,6 @@
         }
     }
 
-    private fun refuseMalformed(cause: Throwable) = refuse(
-        when (cause) {
-            is TooLongHttpHeaderException -> HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
-            is TooLongHttpLineException -> HttpResponseStatus.REQUEST_URI_TOO_LONG
-            else -> HttpResponseStatus.BAD_REQUEST
-        },
-    )
-
     /** Answers with [status], and closes the connection once the client has had time to read it. */
     private fun refuse(status: HttpResponseStatus) {
         log.write(RelayEvent.Malformed(channel.remoteAddress()?.toString(), status.code()))
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/caller/HttpServerRequestDecoder.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/caller/HttpServerRequestDecoder.kt
@@ -5,7 +5,17 @@
 import io.netty.handler.codec.http.HttpHeaderValues
 import io.netty.handler.codec.http.HttpMessage
 import io.netty.handler.codec.http.HttpRequestDecoder
+import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpVersion
+import io.netty.handler.codec.http.TooLongHttpHeaderException
+import io.netty.handler.codec.http.TooLongHttpLineException
+
+/** Returns the status of the answer to a request that can't be decoded because of [cause]. */
+internal fun statusOf(cause: Throwable): HttpResponseStatus = when (cause) {
+    is TooLongHttpHeaderException -> HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
+    is TooLongHttpLineException -> HttpResponseStatus.REQUEST_URI_TOO_LONG
+    else -> HttpResponseStatus.BAD_REQUEST
+}
 
 /** Decodes requests and rejects those with an ambiguous body length. */
 internal class HttpServerRequestDecoder(limits: HttpServerLimits) :
--- a/gentiandale-relay/src/test/kotlin/gentiandale/relay/CallerConnectionTest.kt
+++ b/gentiandale-relay/src/test/kotlin/gentiandale/relay/CallerConnectionTest.kt
@@ -1,5 +1,6 @@
 package gentiandale.relay
 
+import gentiandale.core.ServerKind
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Nested
 import java.net.Socket
@@ -73,6 +74,24 @@
         }
     }
 
+    @Nested
+    inner class HeadRequests {
+        @Test
+        fun `the answer on the route of a stream has no body`() {
+            relay.server("d", ServerKind.DECODE) { request, socket ->
+                FakeServer.begin(socket, request)
+                true
+            }
+            relay.connect().use { socket ->
+                send(socket, "HEAD /stream/1 HTTP/1.1\r\nhost: h\r\nid: r1\r\n\r\n")
+                assertTrue(FakeServer.readHead(socket.getInputStream()).orEmpty().startsWith("HTTP/1.1 "))
+                send(socket, "GET /none HTTP/1.1\r\nhost: h\r\nid: r2\r\n\r\n")
+                val next = FakeServer.readHead(socket.getInputStream()).orEmpty()
+                assertTrue(next.startsWith("HTTP/1.1 404"), next)
+            }
+        }
+    }
+
     private companion object {
         const val RUN_MS = 200L
 
