Read what has arrived before a shutdown closes idle connections

What callers saw: a connection that is reset in a planned stop, although the request was sent within the 250 ms that it has after its connection was opened.

Cause: the shutdown asks on the event loop which connections are idle. If the loop was busy for a while, the task that asks runs before the sockets are read again, and the request lies unread in the kernel.

Ruled out: the idle timeout of a kept connection. Its timer runs after the sockets have been read, so that only bytes that came after it was due are lost.

The shutdown now asks in a task that is due a millisecond later, which runs after another pass over all sockets.

GracefulShutdownTest, "a request that arrives in time is answered although the VM was too busy to read it", failed before the change: "SocketException: Connection reset".

--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/caller/GracefulShutdown.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/caller/GracefulShutdown.kt
@@ -2,6 +2,7 @@
 
 import gentiandale.relay.ShutdownWindow
 import io.netty.channel.EventLoop
+import java.util.concurrent.TimeUnit
 
 /**
  * Graceful shutdown of [server], whose clients may go on sending for a while. Requests are answered until none has come
@@ -32,16 +33,23 @@
         nowMs() - window.sinceMs >= minMs && onLoop { server.quietMs } >= quietMs
 
     /** Closes the connections on which no request is arriving, and returns the number of the others. */
-    private fun openConnections(): Int = onLoop {
+    private fun openConnections(): Int = afterReading {
         server.closeIdle(REQUEST_ARRIVAL_MS)
         server.openCount
     }
 
+    /** Runs [action] after the event loop has read what had arrived on all sockets before the call. */
+    private fun <T> afterReading(action: () -> T): T =
+        onLoop { loop.schedule(action, READ_DELAY_MS, TimeUnit.MILLISECONDS) }.get()
+
     private fun <T> onLoop(action: () -> T): T = loop.submit(action).get()
 
     private companion object {
         const val POLL_MS = 20L
 
+        /** A task that is due later runs in another pass of the event loop, which reads all sockets first. */
+        const val READ_DELAY_MS = 1L
+
         /** A request that has begun to arrive, or that a new connection is for, is complete within this time. */
         const val REQUEST_ARRIVAL_MS = 250L
     }
--- a/gentiandale-relay/src/test/kotlin/gentiandale/relay/GracefulShutdownTest.kt
+++ b/gentiandale-relay/src/test/kotlin/gentiandale/relay/GracefulShutdownTest.kt
@@ -69,6 +69,20 @@
             }
         }
 
+        @Test
+        fun `a request that arrives in time is answered although the VM was too busy to read it`() {
+            startSlowServer(delayMs = 50)
+            relay.connect().use { socket ->
+                val shutdown = shutDownLater()
+                Thread.sleep(SETTLE_MS)
+                relay.stall(STALL_MS)
+                Thread.sleep(SETTLE_MS)
+                send(socket, "GET /once/1 HTTP/1.1\r\nhost: h\r\nid: r1\r\n\r\n")
+                assertTrue(answer(socket).endsWith("done"))
+                assertTrue(shutdown.get())
+            }
+        }
+
         @Test
         fun `a plain request whose server takes too long is answered before the shutdown ends`() {
             startSlowServer(delayMs = 4_000)
@@ -123,5 +137,10 @@
 
         /** Memory of an engine that takes no further generation. */
         const val FULL_TOKENS = 10_000L
+        /** Time for the relay to begin what it has been asked for. */
+        const val SETTLE_MS = 80L
+
+        /** Longer than a request has to arrive once listening has stopped. */
+        const val STALL_MS = 400L
     }
 }
--- a/gentiandale-relay/src/test/kotlin/gentiandale/relay/RelayFixture.kt
+++ b/gentiandale-relay/src/test/kotlin/gentiandale/relay/RelayFixture.kt
@@ -161,6 +161,9 @@
         }
     }
 
+    /** Keeps the event loop busy for [forMs] milliseconds, as on a VM that is short of processor time. */
+    fun stall(forMs: Long) = transport.loop.execute { Thread.sleep(forMs) }
+
     /** Starts a shutdown as if it had been signalled [agoMs] milliseconds ago, with [remainingMs] left. */
     fun beginShutdown(agoMs: Long, remainingMs: Long) {
         val now = SystemClock.monotonicMs()
