Close a connection to a server on any byte without a request

Cause: bytes that arrived while no answer was due closed the connection only once they made up a whole head. A part of one stayed in the decoder, also when it came in the segment of the first answer, and the idle connection was used again. The next answer was then read as the rest of that part.

Ruled out: whole copies, which closed the connection already (PlainRelayTest), and copies that bear the id of the next request.

Fix: the decoder knows whether an answer is due. While none is, it keeps no byte and reports a surplus, which closes the connection; this covers the rest of a segment, later segments and empty lines alike.

--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/upstream/ServerConnectionPool.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/upstream/ServerConnectionPool.kt
@@ -86,11 +86,9 @@
         open++
         val bootstrap = transport.client(CONNECT_TIMEOUT_MS).handler(object : ChannelInitializer<SocketChannel>() {
             override fun initChannel(channel: SocketChannel) {
-                channel.pipeline().addLast(
-                    HttpRequestEncoder(),
-                    AnswerDecoder(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES),
-                    UpstreamConnection(channel, dialect, this@ServerConnectionPool),
-                )
+                val decoder = AnswerDecoder(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES)
+                val connection = UpstreamConnection(channel, decoder, dialect, this@ServerConnectionPool)
+                channel.pipeline().addLast(HttpRequestEncoder(), decoder, connection)
             }
         })
         bootstrap.connect(address.host, address.port).addListener { onConnected(exchange, it as ChannelFuture) }
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/upstream/UpstreamConnection.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/upstream/UpstreamConnection.kt
@@ -22,6 +22,7 @@
  */
 internal class UpstreamConnection(
     private val channel: Channel,
+    private val decoder: AnswerDecoder,
     private val dialect: Dialect,
     private val pool: ServerConnectionPool,
 ) : ChannelInboundHandlerAdapter() {
@@ -50,8 +51,6 @@
 
     val isUsable: Boolean get() = channel.isActive && !isTainted && exchange == null
 
-    private val decoder get() = channel.pipeline().get(AnswerDecoder::class.java)
-
     /** Writes [request] of [next], whose listener receives the answer. */
     fun send(next: Exchange, request: FullHttpRequest) {
         exchange = next
@@ -65,7 +64,7 @@
         interimCount = 0
         // Nothing tells the answer to a request without an id from a late copy of an earlier one.
         if (next.requestId == null) isTainted = true
-        decoder?.isBodyless = request.method() == HttpMethod.HEAD
+        decoder.expect(isHead = request.method() == HttpMethod.HEAD)
         channel.writeAndFlush(request).addListener {
             isRequestWritten = it.isSuccess
             if (it.isSuccess) returnToPool() else fail("write failed: ${it.cause()?.message}")
@@ -83,7 +82,7 @@
 
     override fun channelRead(ctx: ChannelHandlerContext, message: Any) {
         try {
-            read(message as HttpObject)
+            if (message is SurplusBytes) onSurplus(null) else read(message as HttpObject)
         } finally {
             ReferenceCountUtil.release(message)
         }
@@ -96,16 +95,18 @@
                 noteStray(StrayAnswer.MALFORMED, null)
                 fail("malformed answer: ${message.decoderResult().cause()?.message}")
             }
-            current == null -> {
-                if (!isTainted) noteStray(StrayAnswer.SURPLUS, (message as? HttpResponse)?.let(::idOf))
-                close()
-            }
+            current == null -> onSurplus((message as? HttpResponse)?.let(::idOf))
             message is HttpResponse -> readHead(current, message)
             else -> Unit
         }
         if (message is HttpContent && exchange != null && !isAnswerComplete) readContent(message)
     }
 
+    private fun onSurplus(answerId: String?) {
+        if (!isTainted) noteStray(StrayAnswer.SURPLUS, answerId)
+        close()
+    }
+
     private fun readHead(current: Exchange, head: HttpResponse) {
         isInterimAnswer = head.status().codeClass() == HttpStatusClass.INFORMATIONAL
         if (isInterimAnswer) {
@@ -122,7 +123,7 @@
             return
         }
         updateKeepAlive(head)
-        framing = AnswerFraming.of(head, decoder?.isContentAlwaysEmpty(head) ?: false)
+        framing = AnswerFraming.of(head, decoder.isContentAlwaysEmpty(head))
         if (!current.isOver) current.listener.onHead(head)
     }
 
@@ -142,6 +143,7 @@
         if (!isComplete) return
         if (isReset) return fail("reset")
         isAnswerComplete = true
+        decoder.onAnswerComplete()
         if (!current.isOver) {
             current.isOver = true
             current.listener.onEnd(framing)
