--- a/gentiandale-relay/src/test/kotlin/gentiandale/relay/GracefulShutdownTest.kt
+++ b/gentiandale-relay/src/test/kotlin/gentiandale/relay/GracefulShutdownTest.kt
@@ -137,6 +137,7 @@
 
         /** Memory of an engine that takes no further generation. */
         const val FULL_TOKENS = 10_000L
+
         /** Time for the relay to begin what it has been asked for. */
         const val SETTLE_MS = 80L
 
