Close connections of HTTP/1.1 engines after one call

With an engine that supports HTTP/1.1 only, a prefill failed with the 503 of another request, and the cancel of one request was taken as confirmed by the reply to the cancel of another, so that it was not sent again and the engine kept its work.

Cause: the client kept its connections. The first response there is matched to the call that was sent last, and a late copy of a failure names neither request nor attempt. CancelQueue reads only the `held` of a reply.

Ruled out: prefill replies and decode events of another request or attempt, which RequestLifecycle drops; copies that arrive on an idle connection, which the HTTP client closes; HTTP/2, which numbers its streams.

A call over HTTP/1.1 now has `connection: close`, so that a late copy has no connection to arrive on. HTTP/2 connections are kept.

--- a/gentiandale-daemon/src/main/kotlin/gentiandale/daemon/engine/EngineClient.kt
+++ b/gentiandale-daemon/src/main/kotlin/gentiandale/daemon/engine/EngineClient.kt
@@ -1,6 +1,7 @@
 package gentiandale.daemon.engine
 
 import com.linecorp.armeria.client.ClientFactory
+import com.linecorp.armeria.client.DecoratingHttpClientFunction
 import com.linecorp.armeria.client.WebClient
 import com.linecorp.armeria.common.HttpData
 import com.linecorp.armeria.common.HttpMethod
@@ -9,6 +10,7 @@
 import com.linecorp.armeria.common.MediaType
 import com.linecorp.armeria.common.RequestHeaders
 import com.linecorp.armeria.common.ResponseHeaders
+import com.linecorp.armeria.common.logging.RequestLogProperty
 import gentiandale.core.Address
 import gentiandale.core.engine.CancelReply
 import gentiandale.core.engine.CancelRequest
@@ -32,7 +34,12 @@
 /** Calls model engines over HTTP. */
 public class EngineClient : AutoCloseable {
     private val factory = ClientFactory.builder().connectTimeout(Duration.ofMillis(CONNECT_TIMEOUT_MS)).build()
-    private val client = WebClient.builder().factory(factory).maxResponseLength(0).responseTimeoutMillis(0).build()
+    private val client = WebClient.builder()
+        .factory(factory)
+        .maxResponseLength(0)
+        .responseTimeoutMillis(0)
+        .decorator(SINGLE_USE_HTTP1)
+        .build()
 
     /** Runs a prefill at [server]. */
     public suspend fun prefill(server: Address, request: PrefillRequest): PrefillReply =
@@ -96,5 +103,16 @@
 
     private companion object {
         const val CONNECT_TIMEOUT_MS = 1_000L
+
+        /**
+         * Closes HTTP/1.1 connections after one call: a late copy of a response there would be taken for the response to
+         * the next call. HTTP/2 numbers its streams.
+         */
+        val SINGLE_USE_HTTP1 = DecoratingHttpClientFunction { delegate, ctx, request ->
+            ctx.log().whenAvailable(RequestLogProperty.SESSION).thenAccept { log ->
+                if (!log.sessionProtocol().isMultiplex) ctx.initiateConnectionShutdown()
+            }
+            delegate.execute(ctx, request)
+        }
     }
 }
