Skip interim responses to decode calls

An engine behind a server that sends 103 Early Hints failed each decode: the attempt ended with the status of the interim response although the engine answered 200. By the code the caller gets 502 after the retries; that was not run.

Cause: the stream of a response contains interim heads, and the first head was taken for the final one. Prefills and cancels collect the whole response, which leaves them out.

--- a/gentiandale-daemon/src/main/kotlin/gentiandale/daemon/engine/EngineClient.kt
+++ b/gentiandale-daemon/src/main/kotlin/gentiandale/daemon/engine/EngineClient.kt
@@ -58,7 +58,7 @@
         val parser = EventStreamParser()
         post(server, EnginePaths.DECODE, body).asFlow().collect { part ->
             when (part) {
-                is ResponseHeaders -> {
+                is ResponseHeaders -> if (!part.status().isInformational) {
                     checkStatus(part, server)
                     onOpened()
                 }
--- a/gentiandale-daemon/src/test/kotlin/gentiandale/daemon/engine/EngineClientTest.kt
+++ b/gentiandale-daemon/src/test/kotlin/gentiandale/daemon/engine/EngineClientTest.kt
@@ -6,8 +6,10 @@
 import gentiandale.core.RequestId
 import gentiandale.core.engine.CancelReply
 import gentiandale.core.engine.CancelRequest
+import gentiandale.core.engine.DecodeRequest
 import gentiandale.core.engine.PrefillRequest
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.flow.toList
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withTimeout
 import org.junit.jupiter.api.AfterEach
@@ -80,6 +82,29 @@
         }
     }
 
+    @Test
+    fun `an interim response is not the status of a decode`() = runBlocking<Unit> {
+        val interim = "HTTP/1.1 103 Early Hints\r\nlink: </a>\r\n\r\n"
+        val engine = start { body ->
+            interim +
+                response("""data: {"request":"${requestIn(body)}","attempt":1,"index":0,"finish":"stop"}""" + "\n\n")
+        }
+        val request = DecodeRequest(
+            RequestId("a"),
+            Attempt(1),
+            ModelId("m"),
+            prompt = "p",
+            kvSource = "127.0.0.1:1",
+            kvHandle = "h",
+            maxTokens = 1,
+            deadlineMs = TIMEOUT_MS,
+        )
+        var opened = 0
+        val events = withTimeout(TIMEOUT_MS) { client.decode(engine, request) { opened++ }.toList() }
+        assertEquals(listOf("stop"), events.map { it.finish })
+        assertEquals(1, opened)
+    }
+
     private companion object {
         const val TIMEOUT_MS = 5_000L
 
