Take no partial answer for a whole one in calls of the system

A report of an engine of which only a part arrived was read as whole, and an order whose answer was cut in its head or was no answer in the protocol counted as answered, with 200 or 999.

Cause: the decoder reports the end of a body without a length at any end of the connection, also at a reset and when the client itself closes it at its timeout, and it passes on what it can't decode with a failed result that was not read.

Ruled out: answers with fewer bytes than their length or without their last chunk, and a second answer behind the first (tests that passed before). StageOrderSender reads a report only if it is a whole JSON object, so that a part of one led to no order. A body without a length that an orderly close cuts can't be told from a whole one here.

The client now ends the call without an answer before it closes a connection at a timeout or an error, and for each answer with a failed result.

Before the fix: without a length whose connection is reset expected: <(null, )> but was: <(200, part)> without a length that does not end within the timeout expected: <(null, )> but was: <(200, part)> with bytes that are no chunk expected: <(null, )> but was: <(200, part)> in its head expected: <(null, )> but was: <(200, )> bytes that are no answer are none expected: <(null, )> but was: <(999, )>

--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/upstream/DirectClient.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/upstream/DirectClient.kt
@@ -1,6 +1,7 @@
 package gentiandale.relay.upstream
 
 import gentiandale.core.Address
+import io.netty.channel.Channel
 import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInitializer
@@ -35,7 +36,7 @@
             val channel = (connected as ChannelFuture).channel()
             if (!connected.isSuccess) return@addListener handler.end(DirectAnswer(null, ""))
             channel.writeAndFlush(request)
-            transport.loop.schedule({ channel.close() }, timeoutMs, TimeUnit.MILLISECONDS)
+            transport.loop.schedule({ handler.abort(channel) }, timeoutMs, TimeUnit.MILLISECONDS)
         }
     }
 
@@ -48,16 +49,21 @@
             done(answer)
         }
 
+        /** Closes [channel] without an answer. The decoder takes any end of a connection for that of an open body. */
+        fun abort(channel: Channel) {
+            end(DirectAnswer(null, ""))
+            channel.close()
+        }
+
         override fun channelRead0(ctx: ChannelHandlerContext, answer: FullHttpResponse) {
+            if (answer.decoderResult().isFailure) return abort(ctx.channel())
             end(DirectAnswer(answer.status().code(), answer.content().toString(Charsets.UTF_8), answer.headers()))
             ctx.close()
         }
 
         override fun channelInactive(ctx: ChannelHandlerContext) = end(DirectAnswer(null, ""))
 
-        override fun exceptionCaught(ctx: ChannelHandlerContext, cause: Throwable) {
-            ctx.close()
-        }
+        override fun exceptionCaught(ctx: ChannelHandlerContext, cause: Throwable) = abort(ctx.channel())
     }
 
     private companion object {
--- /dev/null
+++ b/gentiandale-relay/src/test/kotlin/gentiandale/relay/upstream/DirectClientTest.kt
@@ -0,0 +1,104 @@
+package gentiandale.relay.upstream
+
+import gentiandale.core.Address
+import gentiandale.relay.FakeServer
+import io.netty.handler.codec.http.DefaultFullHttpRequest
+import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpVersion
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Nested
+import java.net.Socket
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.TimeUnit
+import kotlin.test.Test
+import kotlin.test.assertEquals
+
+class DirectClientTest {
+    private val transport = Transport()
+    private var server: FakeServer? = null
+
+    @AfterEach
+    fun close() {
+        server?.close()
+        transport.close()
+    }
+
+    /** Sends one call to a server that writes [answer], then ends the connection by [end]; returns status and body. */
+    private fun call(answer: String, end: (Socket) -> Unit = {}): Pair<Int?, String> {
+        val server = FakeServer { _, socket ->
+            socket.getOutputStream().write(answer.toByteArray())
+            Thread.sleep(DELIVERY_MS)
+            end(socket)
+            false
+        }.also { server = it }
+        val request = DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/report")
+        val received = CompletableFuture<Pair<Int?, String>>()
+        DirectClient(transport).send(Address("127.0.0.1", server.port), request, TIMEOUT_MS) {
+            received.complete(it.status to it.body)
+        }
+        return received.get(WAIT_MS, TimeUnit.MILLISECONDS)
+    }
+
+    @Nested
+    inner class WholeAnswer {
+        @Test
+        fun `is the first of two`() {
+            val first = "HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\na"
+            assertEquals(200 to "a", call("${first}HTTP/1.1 503 Full\r\ncontent-length: 1\r\n\r\nb"))
+        }
+
+        @Test
+        fun `without a length ends with its connection`() {
+            assertEquals(200 to "whole", call("HTTP/1.1 200 OK\r\n\r\nwhole"))
+        }
+    }
+
+    /** Answers of which a part arrives; they must not pass for whole ones. */
+    @Nested
+    inner class CutAnswer {
+        @Test
+        fun `without a length whose connection is reset`() {
+            assertEquals(NONE, call("HTTP/1.1 200 OK\r\n\r\npart") { it.setSoLinger(true, 0) })
+        }
+
+        @Test
+        fun `without a length that does not end within the timeout`() {
+            assertEquals(NONE, call("HTTP/1.1 200 OK\r\n\r\npart") { Thread.sleep(WAIT_MS) })
+        }
+
+        @Test
+        fun `with fewer bytes than its length`() {
+            assertEquals(NONE, call("HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\npart"))
+        }
+
+        @Test
+        fun `in its head`() {
+            assertEquals(NONE, call("HTTP/1.1 200 OK\r\ncontent-le"))
+        }
+
+        @Test
+        fun `before its last chunk`() {
+            assertEquals(NONE, call("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\npart\r\n"))
+        }
+
+        @Test
+        fun `with bytes that are no chunk`() {
+            val head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+            assertEquals(NONE, call("${head}4\r\npart\r\nHTTP/1.1 200 OK\r\n"))
+        }
+    }
+
+    @Test
+    fun `bytes that are no answer are none`() {
+        assertEquals(NONE, call("part of another answer\r\n\r\n"))
+    }
+
+    private companion object {
+        val NONE: Pair<Int?, String> = null to ""
+        const val TIMEOUT_MS = 800L
+        const val WAIT_MS = 3_000L
+
+        /** Time for the client to read what precedes the end of a connection. */
+        const val DELIVERY_MS = 100L
+    }
+}
