Skip interim responses in calls of the system

An interim response was taken for the answer to an order, whose real status and notices were lost with the connection; StageOrderIssuer counts any status but 202 as a refusal.

Cause: the aggregator passes on a response without a body as a whole one, also one of class 1xx.

Before the fix: follows an interim response expected: <(202, a)> but was: <(103, )>

--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/upstream/DirectClient.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/upstream/DirectClient.kt
@@ -13,6 +13,7 @@
 import io.netty.handler.codec.http.HttpClientCodec
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpObjectAggregator
+import io.netty.handler.codec.http.HttpStatusClass
 import java.util.concurrent.TimeUnit
 
 /** Answer to a call of a [DirectClient]; [status] is null and there are no [headers] if none arrived. */
@@ -57,6 +58,7 @@
 
         override fun channelRead0(ctx: ChannelHandlerContext, answer: FullHttpResponse) {
             if (answer.decoderResult().isFailure) return abort(ctx.channel())
+            if (answer.status().codeClass() == HttpStatusClass.INFORMATIONAL) return
             end(DirectAnswer(answer.status().code(), answer.content().toString(Charsets.UTF_8), answer.headers()))
             ctx.close()
         }
--- a/gentiandale-relay/src/test/kotlin/gentiandale/relay/upstream/DirectClientTest.kt
+++ b/gentiandale-relay/src/test/kotlin/gentiandale/relay/upstream/DirectClientTest.kt
@@ -51,6 +51,12 @@
         fun `without a length ends with its connection`() {
             assertEquals(200 to "whole", call("HTTP/1.1 200 OK\r\n\r\nwhole"))
         }
+
+        @Test
+        fun `follows an interim response`() {
+            val interim = "HTTP/1.1 103 Early Hints\r\nlink: </a>\r\n\r\n"
+            assertEquals(202 to "a", call("${interim}HTTP/1.1 202 Accepted\r\ncontent-length: 1\r\n\r\na"))
+        }
     }
 
     /** Answers of which a part arrives; they must not pass for whole ones. */
