Recognise a second response in a body without a length

A caller of a plain service got 200 with the body followed by the head and the body of the server's second answer.

Cause: a response without a length ends with its connection, so that all that the server still writes there is read as its body. A connection for each call does not help: the copy follows on the same one.

Ruled out: late copies on the connection of another call (`a late copy of a response is not the response to the next call`). Responses with a length or chunks have an end of their own (read, no test).

A body without a length that contains a head with the status and all header names of its own response now leaves the outcome of the call unknown. A document that quotes other heads is passed on; a test shows that.

--- a/gentiandale-daemon/src/main/kotlin/gentiandale/daemon/claim/PlainSender.kt
+++ b/gentiandale-daemon/src/main/kotlin/gentiandale/daemon/claim/PlainSender.kt
@@ -66,8 +66,12 @@
         return try {
             withTimeoutOrNull(timeoutMs) {
                 val answer = response.aggregate().await()
-                val isCut = isUnframed(captor.get()) && refusesConnections(server) && !isLeaving()
-                if (isCut) SendOutcome.Unknown(CUT) else SendOutcome.Answered(answer)
+                when {
+                    !isUnframed(captor.get()) -> SendOutcome.Answered(answer)
+                    answer.containsOwnHead() -> SendOutcome.Unknown(DOUBLED)
+                    refusesConnections(server) && !isLeaving() -> SendOutcome.Unknown(CUT)
+                    else -> SendOutcome.Answered(answer)
+                }
             } ?: SendOutcome.Unknown("no response within $timeoutMs ms")
         } catch (e: CancellationException) {
             throw e
@@ -117,6 +121,7 @@
     private companion object {
         const val CONNECT_TIMEOUT_MS = 1_000L
         const val MAX_RESPONSE_BYTES = 16L * 1_048_576
+        const val DOUBLED = "response without a length was followed by a second response"
         const val CUT = "response without a length ended as its server refused connections"
 
         /** Longer than a process that is killed takes to close its sockets. */
--- a/gentiandale-daemon/src/test/kotlin/gentiandale/daemon/claim/PlainSenderTest.kt
+++ b/gentiandale-daemon/src/test/kotlin/gentiandale/daemon/claim/PlainSenderTest.kt
@@ -62,6 +62,19 @@
         assertEquals("whole", outcome.response.contentUtf8())
     }
 
+    // Guards against the bytes of a second answer that are taken for the rest of the first.
+    @Test
+    fun `an answer without length that is followed by its copy is unknown`() {
+        val answer = "HTTP/1.1 200 OK\r\nserver: a\r\n\r\nwhole"
+        assertIs<SendOutcome.Unknown>(send(answer + answer) { })
+    }
+
+    @Test
+    fun `an answer without length that quotes another answer is complete`() {
+        val quoted = "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n"
+        assertIs<SendOutcome.Answered>(send("HTTP/1.1 200 OK\r\nserver: a\r\n\r\n$quoted") { })
+    }
+
     @Test
     fun `an answer without length that ends with its server's process is unknown`() {
         assertIs<SendOutcome.Unknown>(send("HTTP/1.1 200 OK\r\n\r\npart") { listening.close() })
