Take no other end of a decode stream than stop or length for a complete answer

An answer that an engine broke off with a reason such as `abort` ended the request as answered. By the code the caller gets that reason and `[DONE]` then.

Cause: each event with a `finish` ended the request as answered. The interface allows `stop` and `length` only.

Ruled out: streams that end without a final event, and final events ahead of missing tokens; both are handled.

Another reason is now a failure of the attempt, which is resumed at the next token or ends with an error.

Before the fix: does not end for another reason than stop or length expected: <Queued> but was: <Answered>

--- a/gentiandale-core/src/main/kotlin/gentiandale/core/engine/EngineMessages.kt
+++ b/gentiandale-core/src/main/kotlin/gentiandale/core/engine/EngineMessages.kt
@@ -97,7 +97,13 @@
     val index: Int,
     val text: String = "",
     val finish: String? = null,
-)
+) {
+    /** Values of [finish]. */
+    public companion object {
+        /** Values of [finish] with which an answer is complete; any other one is the failure of its attempt. */
+        public val COMPLETE: Set<String> = setOf("stop", "length")
+    }
+}
 
 /** Cancels every attempt of [request] up to [attempt] at an engine and frees what they hold there. */
 @Serializable
--- a/gentiandale-daemon/src/main/kotlin/gentiandale/daemon/request/RequestLifecycle.kt
+++ b/gentiandale-daemon/src/main/kotlin/gentiandale/daemon/request/RequestLifecycle.kt
@@ -119,7 +119,7 @@
             event.attempt != attempt -> drop(AnswerAnomaly.LATE)
             event.index < nextIndex || event.index in buffered -> drop(AnswerAnomaly.DOUBLED)
             event.index > nextIndex -> bufferEvent(running, event, mayRetry)
-            else -> deliver(running, event)
+            else -> deliver(running, event, mayRetry)
         }
     }
 
@@ -131,13 +131,13 @@
         return transition.with(LifecycleCommand.CountAnomaly(AnswerAnomaly.OUT_OF_ORDER))
     }
 
-    private fun deliver(running: Decoding, first: DecodeEvent): Transition {
+    private fun deliver(running: Decoding, first: DecodeEvent, mayRetry: Boolean): Transition {
         val commands = mutableListOf<LifecycleCommand>()
         var event: DecodeEvent? = first
         var index = nextIndex
         while (event != null) {
             val finish = event.finish
-            if (finish != null) return copy(nextIndex = index).answered(commands, finish)
+            if (finish != null) return copy(nextIndex = index).finished(running, commands, finish, mayRetry)
             commands += LifecycleCommand.Deliver(Answer.Token(index, event.text))
             index++
             event = buffered[index]
@@ -150,6 +150,17 @@
             .withTimer(Step.NEXT_TOKEN, commands)
     }
 
+    private fun finished(
+        running: Running,
+        before: List<LifecycleCommand>,
+        finish: String,
+        mayRetry: Boolean,
+    ): Transition {
+        if (finish in DecodeEvent.COMPLETE) return answered(before, finish)
+        val failed = fail(running, "the engine ended its stream with '$finish'", mayRetry)
+        return failed.copy(commands = before + failed.commands)
+    }
+
     private fun answered(before: List<LifecycleCommand>, finish: String): Transition {
         val commands = before + listOf(
             LifecycleCommand.StopTimer,
--- a/gentiandale-daemon/src/test/kotlin/gentiandale/daemon/request/RequestLifecycleTest.kt
+++ b/gentiandale-daemon/src/test/kotlin/gentiandale/daemon/request/RequestLifecycleTest.kt
@@ -47,8 +47,8 @@
     fun token(index: Int, attempt: Int = 1, request: RequestId = id) =
         LifecycleEvent.DecodeReceived(DecodeEvent(request, Attempt(attempt), index, "w$index"))
 
-    fun finish(index: Int, attempt: Int = 1) =
-        LifecycleEvent.DecodeReceived(DecodeEvent(id, Attempt(attempt), index, finish = "length"))
+    fun finish(index: Int, attempt: Int = 1, reason: String = "length") =
+        LifecycleEvent.DecodeReceived(DecodeEvent(id, Attempt(attempt), index, finish = reason))
 
     fun decoding(attempt: Int = 1, suffix: String = "") {
         feed(place(attempt, suffix))
@@ -84,6 +84,20 @@
             assertEquals(RequestState.Answered, harness.lifecycle.state)
         }
 
+        // Guards against an engine's abort that is passed on as the end of a complete answer.
+        @Test
+        fun `does not end for another reason than stop or length`() {
+            harness.decoding()
+            harness.feed(harness.token(0))
+            harness.feed(harness.finish(1, reason = "abort"))
+            assertEquals(RequestState.Queued, harness.lifecycle.state)
+            harness.decoding(attempt = 2, suffix = "2")
+            harness.feed(harness.token(1, attempt = 2))
+            harness.feed(harness.finish(2, attempt = 2, reason = "stop"))
+            assertEquals(listOf(0, 1), harness.tokens)
+            assertEquals(Answer.Finished(2, "stop"), harness.answers.last())
+        }
+
         @Test
         fun `drops duplicate, late and misdirected events`() {
             harness.decoding()
