Refuse no request as not run after another owner may have run it

A caller was told `not-run` for a request that a lost owner had begun to answer.

Cause: owners that are draining refuse a forwarded request without looking at its earlier attempts, and the entry VM passed the last such refusal on as it came.

After the loss of an owner, the outcome of each refusal is now `unknown`.

Before the fix: a request that an owner has run is not refused as not run expected: <UNKNOWN> but was: <NOT_RUN>

--- a/gentiandale-daemon/src/main/kotlin/gentiandale/daemon/forward/RequestRouter.kt
+++ b/gentiandale-daemon/src/main/kotlin/gentiandale/daemon/forward/RequestRouter.kt
@@ -66,7 +66,7 @@
             client.forward(vm, remaining).collect { answer ->
                 if (answer is Answer.Token) next = answer.index + 1
                 declined = mayDecline && isDeclined(answer)
-                if (!declined) emit(answer)
+                if (!declined) emit(if (remaining.attemptBase > 0) afterOtherOwner(answer) else answer)
             }
         } catch (e: OwnerLostException) {
             return ownerLost(e, resumedAt(remaining, next))
@@ -94,6 +94,12 @@
         attemptBase = completion.attemptBase + MAX_ATTEMPTS_PER_OWNER,
     )
 
+    /** Returns [answer] of an owner after that of another one, which may have run the request. */
+    private fun afterOtherOwner(answer: Answer): Answer = when (answer) {
+        is Answer.Refused -> Answer.Refused(answer.refusal.copy(outcome = CallOutcome.UNKNOWN))
+        is Answer.Finished, is Answer.Token -> answer
+    }
+
     private fun isDeclined(answer: Answer) = answer is Answer.Refused &&
         answer.refusal.outcome == CallOutcome.NOT_RUN &&
         (answer.refusal.reason == RefusalReason.DRAINING || answer.refusal.reason == RefusalReason.NO_SERVER)
