Accept the connections that wait before a shutdown stops listening

What callers saw: connections that were established and are reset at the moment at which a stopping entry VM closes its listening socket, if more of them waited than the event loop accepts in one pass, or if it was busy.

Cause: the listening socket was closed in a task, whatever waited in its accept queue. The kernel resets these connections.

Ruled out: connections that have been accepted; they have 250 ms for their first request already.

Listening now stops in a task that runs after a pass of the event loop which has accepted nothing, and after 500 ms if clients go on connecting. Callers that connect between that pass and the close are still reset; nothing has been read from them.

--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/caller/GracefulShutdown.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/caller/GracefulShutdown.kt
@@ -24,7 +24,7 @@
     public fun run(window: ShutdownWindow): Boolean {
         onLoop { server.isDraining = true }
         while (!window.isEnding(nowMs()) && !isQuiet(window)) Thread.sleep(POLL_MS)
-        onLoop { server.close() }
+        stopListening(minOf(nowMs() + MAX_ACCEPT_MS, window.endMs))
         while (openConnections() > 0 && nowMs() < window.endMs) Thread.sleep(POLL_MS)
         return !onLoop { server.isBusy }
     }
@@ -32,6 +32,19 @@
     private fun isQuiet(window: ShutdownWindow): Boolean =
         nowMs() - window.sinceMs >= minMs && onLoop { server.quietMs } >= quietMs
 
+    /** Stops listening at [endMs], or before that when all connections that wait have been accepted. */
+    private fun stopListening(endMs: Long) {
+        var accepted = onLoop { server.acceptedCount }
+        do {
+            val before = accepted
+            accepted = afterReading {
+                if (server.acceptedCount == before || nowMs() >= endMs) server.close()
+                server.acceptedCount
+            }
+        } while (accepted != before && nowMs() < endMs)
+        onLoop { server.close() }
+    }
+
     /** Closes the connections on which no request is arriving, and returns the number of the others. */
     private fun openConnections(): Int = afterReading {
         server.closeIdle(REQUEST_ARRIVAL_MS)
@@ -50,6 +63,9 @@
         /** A task that is due later runs in another pass of the event loop, which reads all sockets first. */
         const val READ_DELAY_MS = 1L
 
+        /** Clients that go on connecting don't keep the server listening for longer. */
+        const val MAX_ACCEPT_MS = 500L
+
         /** A request that has begun to arrive, or that a new connection is for, is complete within this time. */
         const val REQUEST_ARRIVAL_MS = 250L
     }
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/caller/HttpServer.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/caller/HttpServer.kt
@@ -24,11 +24,14 @@
     private val connections = LinkedHashSet<HttpServerConnection>()
     private var listening: Channel? = null
     private var lastActivityMs = 0L
-    private var opened = 0L
 
     /** Whether answers ask clients to close the connection. Set on the event loop. */
     public var isDraining: Boolean = false
 
+    /** Number of connections that have been accepted. Read on the event loop. */
+    internal var acceptedCount: Long = 0
+        private set
+
     /** Number of open connections. Read on the event loop. */
     public val openCount: Int get() = connections.size
 
@@ -70,7 +73,7 @@
     }
 
     /** Returns the number of a new connection. */
-    internal fun nextNumber(): Long = ++opened
+    internal fun nextNumber(): Long = ++acceptedCount
 
     internal fun onActivity() {
         lastActivityMs = nowMs()
--- a/gentiandale-relay/src/test/kotlin/gentiandale/relay/GracefulShutdownTest.kt
+++ b/gentiandale-relay/src/test/kotlin/gentiandale/relay/GracefulShutdownTest.kt
@@ -83,6 +83,17 @@
             }
         }
 
+        @Test
+        fun `connections that wait to be accepted as listening stops are answered`() {
+            relay.stall(STALL_MS)
+            val sockets = List(WAITING_CALLERS) { relay.connect() }
+            sockets.forEach { send(it, "GET /none HTTP/1.1\r\nhost: h\r\n\r\n") }
+            val shutdown = shutDownLater()
+            val answers = sockets.map { socket -> runCatching { socket.use(::answer) }.getOrElse { "$it" } }
+            assertEquals(emptyList(), answers.filterNot { it.startsWith("HTTP/1.1 404") })
+            assertTrue(shutdown.get())
+        }
+
         @Test
         fun `a plain request whose server takes too long is answered before the shutdown ends`() {
             startSlowServer(delayMs = 4_000)
@@ -143,5 +154,8 @@
 
         /** Longer than a request has to arrive once listening has stopped. */
         const val STALL_MS = 400L
+
+        /** Many times what is accepted at once. */
+        const val WAITING_CALLERS = 150
     }
 }
