Never carry two requests with the same id on one connection

Cause: callers retry with the same request id. The second call is another request to the relay, so the connections that had carried the first one were not known to it. On one of them a late copy of the first answer bears the right id and is taken for the answer; a copy of a rejection makes the relay send the request elsewhere although it runs.

Ruled out: several sends of one call, which keeps apart (RepeatedSendTest).

Fix: the connection remembers the ids that it has carried, and the pool never gives it a request with one of them, whichever call it belongs to. The set is complete and bounded, since a connection is closed after 256 requests. This replaces the list of connections that each call kept.

RepeatedCallTest before the fix: a call runs once after the rejection of the first one: expected: <1> but was: <6> a call is not answered by the failure of the first one: HTTP/1.1 500 Internal Server Error a stream that its caller resumes does not end with the events of the first one: expected: <[3, 4]> but was: <[]>

--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/KvCache.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/KvCache.kt
@@ -4,7 +4,6 @@
 import gentiandale.relay.backend.Backend
 import gentiandale.relay.upstream.AnswerFraming
 import gentiandale.relay.upstream.AnswerListener
-import gentiandale.relay.upstream.RequestCarriers
 import gentiandale.relay.upstream.SendFailure
 import io.netty.buffer.ByteBuf
 import io.netty.handler.codec.http.FullHttpRequest
@@ -33,7 +32,7 @@
                 )
             }
         }
-        val exchange = context.upstreams.send(server, null, Long.MAX_VALUE, RequestCarriers(), listener)
+        val exchange = context.upstreams.send(server, null, Long.MAX_VALUE, listener)
         context.loop.schedule(exchange::cancel, TIMEOUT_MS, TimeUnit.MILLISECONDS)
     }
 
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/RequestHandler.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/RequestHandler.kt
@@ -10,7 +10,6 @@
 import gentiandale.relay.upstream.AnswerFraming
 import gentiandale.relay.upstream.AnswerListener
 import gentiandale.relay.upstream.Exchange
-import gentiandale.relay.upstream.RequestCarriers
 import gentiandale.relay.upstream.SendFailure
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
@@ -49,7 +48,6 @@
     private var sends = 0
     private var deadlineTimer: ScheduledFuture<*>? = null
     private val running = ArrayList<Send>(2)
-    private val carriers = RequestCarriers()
     protected val permits = PermitHold(context.nowMs)
     protected val guard = StepGuard(::onError)
 
@@ -242,7 +240,7 @@
                 server.limit.perSecond(context.nowMs()),
             ),
         )
-        send.exchange = context.upstreams.send(server, routed.id, maxIdleMs, carriers, guard.guarded(send))
+        send.exchange = context.upstreams.send(server, routed.id, maxIdleMs, guard.guarded(send))
         return send
     }
 
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/upstream/Exchange.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/upstream/Exchange.kt
@@ -38,16 +38,10 @@
     public fun onFailure(failure: SendFailure)
 }
 
-/**
- * One request to a server and its answer.
- *
- * @param carriers connections that have carried the same request before. A late copy of an answer bears the id of the
- * request, so that on one of them it could be taken for the answer to this exchange.
- */
+/** One request to a server and its answer. */
 public class Exchange internal constructor(
     internal val listener: AnswerListener,
     internal val requestId: String?,
-    internal val carriers: RequestCarriers,
 ) {
     internal var connection: UpstreamConnection? = null
 
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/upstream/ServerConnectionPool.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/upstream/ServerConnectionPool.kt
@@ -29,15 +29,15 @@
 
     /**
      * Sends the request of [exchange] over a connection that has been idle for at most [maxIdleMs] milliseconds and has
-     * not carried the request before, or over a new one. Returns before the listener of [exchange] is called, which may
-     * start the next send at once.
+     * not carried a request with the same id before, or over a new one. Returns before the listener of [exchange] is
+     * called, which may start the next send at once.
      */
     fun send(exchange: Exchange, maxIdleMs: Long) {
         transport.loop.execute { if (!exchange.isOver) place(exchange, maxIdleMs) }
     }
 
     private fun place(exchange: Exchange, maxIdleMs: Long) {
-        val ready = takeIdle(maxIdleMs, exchange.carriers)
+        val ready = takeIdle(maxIdleMs, exchange.requestId)
         when {
             ready != null -> start(exchange, ready)
             open >= maxConnections() && !closeOldestIdle() -> failUnsent(exchange, "all $open connections in use")
@@ -60,7 +60,7 @@
         idle.toList().forEach { it.close() }
     }
 
-    private fun takeIdle(maxIdleMs: Long, carriers: RequestCarriers): UpstreamConnection? {
+    private fun takeIdle(maxIdleMs: Long, requestId: String?): UpstreamConnection? {
         val now = nowMs()
         val skipped = ArrayDeque<UpstreamConnection>()
         var found: UpstreamConnection? = null
@@ -68,7 +68,7 @@
             val last = idle.removeLast()
             when {
                 !last.isUsable || now >= last.usableUntilMs || now - last.idleSinceMs > maxIdleMs -> last.close()
-                last in carriers -> skipped.addFirst(last)
+                requestId != null && last.hasCarried(requestId) -> skipped.addFirst(last)
                 else -> found = last
             }
         }
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/upstream/UpstreamConnection.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/upstream/UpstreamConnection.kt
@@ -36,6 +36,7 @@
     private var isReset = false
     private var isTainted = false
     private var sentCount = 0
+    private val carriedIds = HashSet<String>()
     private var interimCount = 0
 
     /** Time in milliseconds for which the server keeps an idle connection open. */
@@ -51,17 +52,24 @@
 
     val isUsable: Boolean get() = channel.isActive && !isTainted && exchange == null
 
+    /**
+     * Returns whether the connection has carried a request with [requestId], also one that its caller has sent again.
+     * A late copy of the answer to it could then be taken for the answer to the next one.
+     */
+    fun hasCarried(requestId: String): Boolean = requestId in carriedIds
+
     /** Writes [request] of [next], whose listener receives the answer. */
     fun send(next: Exchange, request: FullHttpRequest) {
         exchange = next
         next.connection = this
-        next.carriers.add(this)
+        next.requestId?.let(carriedIds::add)
         next.isSent = true
         isRequestWritten = false
         isAnswerComplete = false
         sentCount++
         next.use = ConnectionUse(number, sentCount)
         interimCount = 0
+        if (sentCount >= MAX_REQUESTS) isTainted = true
         // Nothing tells the answer to a request without an id from a late copy of an earlier one.
         if (next.requestId == null) isTainted = true
         decoder.expect(isHead = request.method() == HttpMethod.HEAD)
@@ -196,6 +204,9 @@
     private companion object {
         /** Interim answers before the final one; servers send one or two. */
         const val MAX_INTERIM_ANSWERS = 8
+
+        /** Bounds the ids that a connection remembers; a new connection for that many requests costs little. */
+        const val MAX_REQUESTS = 256
         const val KEEP_ALIVE = "Keep-Alive"
         const val MS_PER_S = 1_000L
 
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/upstream/Upstreams.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/upstream/Upstreams.kt
@@ -20,17 +20,11 @@
     val crashes = CrashDetector(transport)
 
     /**
-     * Sends a request to [backend] over a connection that has been idle for at most [maxIdleMs] milliseconds and is not
-     * one of the [carriers] of the same request.
+     * Sends a request to [backend] over a connection that has been idle for at most [maxIdleMs] milliseconds and has
+     * not carried a request with [requestId] before.
      */
-    fun send(
-        backend: Backend,
-        requestId: String?,
-        maxIdleMs: Long,
-        carriers: RequestCarriers,
-        listener: AnswerListener,
-    ): Exchange {
-        val exchange = Exchange(listener, requestId, carriers)
+    fun send(backend: Backend, requestId: String?, maxIdleMs: Long, listener: AnswerListener): Exchange {
+        val exchange = Exchange(listener, requestId)
         poolOf(backend).send(exchange, maxIdleMs)
         return exchange
     }
