Decide by the request id where the body of an answer ends

Cause: the decoder found the end of a body without knowing whose it is. A body without a length swallowed the second answer up to the end of the connection. A copy of an answer to HEAD took its stated length from the next answer, a copy with a body broke a HEAD request, and a copy of which only the head arrived took its length from the next answer.

Fix: the decoder knows the id of the request. Only its own answer is bodyless for HEAD. A body without a length, and one that is discarded because it belongs to another request, ends where a well-formed head with the id of the request starts, wherever segments divide it. Other text passes; a head that may still become one is held back, and bytes before it are not. A body without a length that holds the answer to an earlier request of the connection, or whose connection ends within a head before its id, counts as broken off. Connections are not used again after HEAD or a body without a length.

--- /dev/null
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/upstream/AnswerStart.kt
@@ -0,0 +1,93 @@
+package gentiandale.relay.upstream
+
+import io.netty.buffer.ByteBuf
+import io.netty.handler.codec.http.DefaultHttpHeaders
+
+/** Where a further answer to a request starts in the body of an answer. */
+internal sealed interface AnswerStart {
+    /** No further answer starts in the bytes. */
+    data object None : AnswerStart
+
+    /** The head of an answer may start at [index], but the bytes end before its id. */
+    data class Possible(val index: Int) : AnswerStart
+
+    /** The answer with [id] starts at [index]. */
+    data class Found(val index: Int, val id: String) : AnswerStart
+}
+
+/**
+ * Finds the head of a further answer in a body. It is a well-formed head up to its id, which has to be one of the
+ * requests that the connection [hasCarried], since a body may hold any text.
+ */
+internal class AnswerStartFinder(private val dialect: Dialect, private val hasCarried: (String) -> Boolean) {
+    /** Searches the readable part of [bytes]. */
+    fun find(bytes: ByteBuf): AnswerStart {
+        var from = bytes.indexOf(bytes.readerIndex(), bytes.writerIndex(), FIRST_BYTE)
+        while (from >= 0) {
+            val start = startAt(bytes, from)
+            if (start !is AnswerStart.None) return start
+            from = bytes.indexOf(from + 1, bytes.writerIndex(), FIRST_BYTE)
+        }
+        return AnswerStart.None
+    }
+
+    private fun startAt(bytes: ByteBuf, from: Int): AnswerStart {
+        var line = from
+        while (line - from < MAX_HEAD_BYTES) {
+            val lineFeed = bytes.indexOf(line, minOf(bytes.writerIndex(), line + MAX_HEAD_BYTES), LINE_FEED)
+            val end = if (lineFeed >= 0) lineFeed + 1 else bytes.writerIndex()
+            val text = bytes.toString(line, minOf(end - line, MAX_HEAD_BYTES), Charsets.ISO_8859_1)
+            val isPossible = if (line == from) isStatusLine(text) else isHeaderLine(text)
+            if (!isPossible) return AnswerStart.None
+            if (lineFeed < 0) return if (end - from < MAX_HEAD_BYTES) AnswerStart.Possible(from) else AnswerStart.None
+            val id = if (line == from) null else idOf(text)
+            if (id != null) return if (hasCarried(id)) AnswerStart.Found(from, id) else AnswerStart.None
+            line = end
+        }
+        return AnswerStart.None
+    }
+
+    /** Returns whether [line] is a status line, or the beginning of one if it has no line feed. */
+    private fun isStatusLine(line: String): Boolean {
+        val isPattern = STATUS_PATTERN.indices.all { i ->
+            val char = line.getOrNull(i) ?: return !line.endsWith('\n')
+            if (STATUS_PATTERN[i] == DIGIT) char.isAsciiDigit() else char == STATUS_PATTERN[i]
+        }
+        return isPattern && line.getOrElse(STATUS_PATTERN.length) { ' ' } in " \r" && isEndValid(line)
+    }
+
+    /** Returns whether [line] is a header line, or the beginning of one if it has no line feed. */
+    private fun isHeaderLine(line: String): Boolean {
+        val nameLength = line.indexOfFirst { !it.isTokenChar() }
+        return when {
+            nameLength < 0 -> true
+            line == "\r" -> true
+            else -> nameLength > 0 && line[nameLength] == ':' && isEndValid(line)
+        }
+    }
+
+    private fun isEndValid(line: String) = !line.endsWith('\n') || line.endsWith("\r\n")
+
+    private fun idOf(line: String): String? {
+        val (name, value) = line.split(':', limit = 2)
+        return dialect.requestId(DefaultHttpHeaders(false).add(name, value.trim()))
+    }
+
+    internal companion object {
+        /** Shortest beginning of a head that hardly any body ends with. */
+        const val MIN_HEAD_BYTES = "HTTP/1.".length
+        private const val DIGIT = '0'
+        private const val STATUS_PATTERN = "HTTP/1.0 000"
+        private const val FIRST_BYTE = 'H'.code.toByte()
+        private const val LINE_FEED = '\n'.code.toByte()
+
+        /** Many times the part of a head before the id. */
+        private const val MAX_HEAD_BYTES = 8_192
+        private const val TOKEN_PUNCTUATION = "!#$%&'*+-.^_`|~"
+
+        private fun Char.isAsciiDigit() = this in '0'..'9'
+
+        private fun Char.isTokenChar() =
+            isAsciiDigit() || this in 'a'..'z' || this in 'A'..'Z' || this in TOKEN_PUNCTUATION
+    }
+}
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/upstream/ServerConnectionPool.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/upstream/ServerConnectionPool.kt
@@ -86,7 +86,7 @@
         open++
         val bootstrap = transport.client(CONNECT_TIMEOUT_MS).handler(object : ChannelInitializer<SocketChannel>() {
             override fun initChannel(channel: SocketChannel) {
-                val decoder = AnswerDecoder(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES)
+                val decoder = AnswerDecoder(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES, dialect)
                 val connection = UpstreamConnection(channel, decoder, dialect, this@ServerConnectionPool)
                 channel.pipeline().addLast(HttpRequestEncoder(), decoder, connection)
             }
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/upstream/UpstreamConnection.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/upstream/UpstreamConnection.kt
@@ -36,7 +36,7 @@
     private var isReset = false
     private var isTainted = false
     private var sentCount = 0
-    private val carriedIds = HashSet<String>()
+    private var hasNotedStray = false
     private var interimCount = 0
 
     /** Time in milliseconds for which the server keeps an idle connection open. */
@@ -52,17 +52,13 @@
 
     val isUsable: Boolean get() = channel.isActive && !isTainted && exchange == null
 
-    /**
-     * Returns whether the connection has carried a request with [requestId], also one that its caller has sent again.
-     * A late copy of the answer to it could then be taken for the answer to the next one.
-     */
-    fun hasCarried(requestId: String): Boolean = requestId in carriedIds
+    /** Returns whether the connection has carried a request with [requestId]. */
+    fun hasCarried(requestId: String): Boolean = decoder.hasCarried(requestId)
 
     /** Writes [request] of [next], whose listener receives the answer. */
     fun send(next: Exchange, request: FullHttpRequest) {
         exchange = next
         next.connection = this
-        next.requestId?.let(carriedIds::add)
         next.isSent = true
         isRequestWritten = false
         isAnswerComplete = false
@@ -72,7 +68,7 @@
         if (sentCount >= MAX_REQUESTS) isTainted = true
         // Nothing tells the answer to a request without an id from a late copy of an earlier one.
         if (next.requestId == null) isTainted = true
-        decoder.expect(isHead = request.method() == HttpMethod.HEAD)
+        decoder.expect(next.requestId, isHead = request.method() == HttpMethod.HEAD)
         channel.writeAndFlush(request).addListener {
             isRequestWritten = it.isSuccess
             if (it.isSuccess) returnToPool() else fail("write failed: ${it.cause()?.message}")
@@ -111,7 +107,7 @@
     }
 
     private fun onSurplus(answerId: String?) {
-        if (!isTainted) noteStray(StrayAnswer.SURPLUS, answerId)
+        if (!hasNotedStray) noteStray(StrayAnswer.SURPLUS, answerId)
         close()
     }
 
@@ -132,13 +128,17 @@
         }
         updateKeepAlive(head)
         framing = AnswerFraming.of(head, decoder.isContentAlwaysEmpty(head))
+        // A copy of an answer to HEAD looks as if it had a body; an answer without a length has no end of its own.
+        if (decoder.isHead || framing == AnswerFraming.CONNECTION_END) isTainted = true
         if (!current.isOver) current.listener.onHead(head)
     }
 
     private fun idOf(head: HttpResponse) = dialect.requestId(head.headers())
 
-    private fun noteStray(kind: StrayAnswer, answerId: String?) =
+    private fun noteStray(kind: StrayAnswer, answerId: String?) {
+        hasNotedStray = true
         pool.observer.onStray(kind, pool.address, ConnectionUse(number, sentCount), exchange?.requestId, answerId)
+    }
 
     private fun readContent(part: HttpContent) {
         val current = exchange ?: return
