Refuse answers whose head leaves open where they start or end

Cause: the status line of the next answer then ends a header of the copy, or its reason phrase, and both heads count as one: with the id of the copy the answer is discarded, else it is passed on with headers of the copy. Beside it, a length was dropped in favour of chunks, codings other than chunked were taken for no coding, and any status and HTTP version was passed on.

Ruled out: differing and malformed lengths, which the decoder refused already.

Fix: one check of each head, whoever it belongs to, before it is used: HTTP/1.x, a status from 100 to 599 other than 101, which nobody asks for, chunked as the only coding and without a length, and no status line in a header or reason. The request fails at once otherwise, or is sent elsewhere if it may be.

--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/upstream/AnswerDecoder.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/upstream/AnswerDecoder.kt
@@ -61,6 +61,9 @@
     public override fun isContentAlwaysEmpty(message: HttpMessage): Boolean =
         (isHead && !isForeign(message)) || super.isContentAlwaysEmpty(message)
 
+    /** Keeps both headers, so that the answer is recognised as malformed. */
+    override fun handleTransferEncodingChunkedWithContentLength(message: HttpMessage) = Unit
+
     private fun isForeign(message: HttpMessage): Boolean {
         val id = dialect.requestId(message.headers())
         return id != null && requestId != null && id != requestId
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/upstream/UpstreamConnection.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/upstream/UpstreamConnection.kt
@@ -86,7 +86,7 @@
 
     override fun channelRead(ctx: ChannelHandlerContext, message: Any) {
         try {
-            if (message is SurplusBytes) onSurplus(null) else read(message as HttpObject)
+            if (message is HttpObject) read(message) else onSurplus(null)
         } finally {
             ReferenceCountUtil.release(message)
         }
@@ -95,10 +95,7 @@
     private fun read(message: HttpObject) {
         val current = exchange?.takeIf { !isAnswerComplete }
         when {
-            message.decoderResult().isFailure -> {
-                noteStray(StrayAnswer.MALFORMED, null)
-                fail("malformed answer: ${message.decoderResult().cause()?.message}")
-            }
+            message.decoderResult().isFailure -> onMalformed(message.decoderResult().cause()?.message)
             current == null -> onSurplus((message as? HttpResponse)?.let(::idOf))
             message is HttpResponse -> readHead(current, message)
             else -> Unit
@@ -111,7 +108,13 @@
         close()
     }
 
+    private fun onMalformed(reason: String?) {
+        noteStray(StrayAnswer.MALFORMED, null)
+        fail("malformed answer: $reason")
+    }
+
     private fun readHead(current: Exchange, head: HttpResponse) {
+        AnswerHead.malformationOf(head)?.let { return onMalformed(it) }
         isInterimAnswer = head.status().codeClass() == HttpStatusClass.INFORMATIONAL
         if (isInterimAnswer) {
             if (++interimCount > MAX_INTERIM_ANSWERS) fail("more than $MAX_INTERIM_ANSWERS interim answers")
--- a/gentiandale-relay/src/test/kotlin/gentiandale/relay/SecondAnswerTest.kt
+++ b/gentiandale-relay/src/test/kotlin/gentiandale/relay/SecondAnswerTest.kt
@@ -1,9 +1,11 @@
 package gentiandale.relay
 
+import gentiandale.core.backend.BackendState
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Nested
 import java.net.Socket
 import kotlin.test.Test
+import kotlin.test.assertEquals
 import kotlin.test.assertTrue
 
 /** Servers whose second answer to one request arrives while another request is under way on the connection. */
@@ -65,6 +67,19 @@
             FakeServer.reply(socket, request, "second")
         }
 
+        @Test
+        fun `the next request gets its answer or a failure at once wherever the copy is cut`() {
+            val odd = (1..copy.length).mapNotNull { length ->
+                val server = start("s$length", length)
+                relay.get("/once/1", id = "r1")
+                val answer = relay.get("/once/2", id = "r2")
+                relay.merge(rowOf("s$length", port = server.port, state = BackendState.GONE, sequence = 2))
+                val isOwn = answer.endsWith("\r\n\r\nsecond") && "note" !in answer
+                if (isOwn || answer.startsWith("HTTP/1.1 502")) null else length to answer.substringBefore("\r\n")
+            }
+            assertEquals(emptyList(), odd)
+        }
+
         @Test
         fun `a copy that has only its head takes no bytes of the next answer`() {
             start("a", copy.length)
