Let a drain wait until callers have received their responses

A drain ended while a caller that reads slowly still had most of its response to receive.

Cause: a call was counted as running until its response had been handed to the HTTP server, not until it was written.

Ruled out: calls that are admitted while the gate closes; the call is counted before the gate is read.

A call now counts until the log of its response is complete, which is when the response has been written or the caller has gone. The limit of the drain holds as before.

Before the fix: does not end before a caller that reads slowly has received its response actual value is not null ==> expected: <null> but was: <kotlin.Unit>

In one run of DrainTest with this change, on a machine with a load average of about 70, `interrupts no answer while a load balancer still sends calls` failed: a 503 was not `draining` and `not-run`. It passed in the 14 later runs.

--- a/gentiandale-daemon/src/main/kotlin/gentiandale/daemon/http/AnswerWriters.kt
+++ b/gentiandale-daemon/src/main/kotlin/gentiandale/daemon/http/AnswerWriters.kt
@@ -6,10 +6,12 @@
 import com.linecorp.armeria.common.HttpStatus
 import com.linecorp.armeria.common.MediaType
 import com.linecorp.armeria.common.ResponseHeaders
+import com.linecorp.armeria.server.ServiceRequestContext
 import gentiandale.core.CallOutcome
 import gentiandale.daemon.request.Answer
 import gentiandale.daemon.request.Completion
 import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.future.await
 
 /** Writes the answer to a completion call as an HTTP response. */
 internal fun interface AnswerWriter {
@@ -94,6 +96,14 @@
     close()
 }
 
+/**
+ * Suspends until the response has been written to the caller's connection or the caller has disconnected. A caller that
+ * reads slowly receives it long after the writer was closed.
+ */
+internal suspend fun ServiceRequestContext.awaitDelivery() {
+    log().whenComplete().await()
+}
+
 /** Writes [part], or cancels the coroutine if the caller has disconnected. */
 private fun HttpResponseWriter.send(part: HttpObject) {
     if (!tryWrite(part)) throw CancellationException("The caller has disconnected.")
--- a/gentiandale-daemon/src/main/kotlin/gentiandale/daemon/http/CompletionService.kt
+++ b/gentiandale-daemon/src/main/kotlin/gentiandale/daemon/http/CompletionService.kt
@@ -22,7 +22,12 @@
 ) : HttpService {
     override fun serve(ctx: ServiceRequestContext, req: HttpRequest): HttpResponse {
         val writer = HttpResponse.streaming()
-        val job = scope.launch { gate.admit({ refuse(writer, it) }) { respond(writer, req) } }
+        val job = scope.launch {
+            gate.admit({ refuse(writer, it) }) {
+                respond(writer, req)
+                ctx.awaitDelivery()
+            }
+        }
         job.invokeOnCompletion { cause -> if (cause != null) writer.close(cause) }
         writer.whenComplete().whenComplete { _, cause -> if (cause != null) job.cancel() }
         return writer
--- a/gentiandale-daemon/src/main/kotlin/gentiandale/daemon/http/PlainCallService.kt
+++ b/gentiandale-daemon/src/main/kotlin/gentiandale/daemon/http/PlainCallService.kt
@@ -32,7 +32,10 @@
         val service = ctx.pathParam("service").orEmpty()
         val writer = HttpResponse.streaming()
         val job = scope.launch {
-            gate.admit({ writer.respond(it.toProblem()) }) { respond(writer, service, req) }
+            gate.admit({ writer.respond(it.toProblem()) }) {
+                respond(writer, service, req)
+                ctx.awaitDelivery()
+            }
         }
         job.invokeOnCompletion { cause -> if (cause != null) writer.close(cause) }
         return writer
--- a/gentiandale-daemon/src/test/kotlin/gentiandale/daemon/DrainTest.kt
+++ b/gentiandale-daemon/src/test/kotlin/gentiandale/daemon/DrainTest.kt
@@ -3,17 +3,22 @@
 import com.linecorp.armeria.common.AggregatedHttpResponse
 import gentiandale.daemon.settings.LimitSettings
 import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeoutOrNull
 import org.junit.jupiter.api.Nested
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.atomic.AtomicBoolean
 import kotlin.concurrent.thread
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertNull
 import kotlin.test.assertTrue
 
 class DrainTest : FleetFixture() {
     private fun start(vms: Int = 1, graceMs: Long = 300) =
-        startVms(vms, LimitSettings(serverTimeoutMs = 600_000, drainGraceMs = graceMs))
+        startVms(
+            vms,
+            LimitSettings(maxBodyBytes = 2L * LARGE_BYTES, serverTimeoutMs = 600_000, drainGraceMs = graceMs),
+        )
 
     private fun drain(vm: Int, limitMs: Long = 0) =
         assertEquals(202, post(vm, "/v1/drain", """{"limit_ms":$limitMs}""").status().code())
@@ -76,6 +81,22 @@
             assertEquals(201, response.join().status().code())
         }
 
+        // Guards against the end of a process that still has a part of a response to send.
+        @Test
+        fun `does not end before a caller that reads slowly has received its response`() {
+            start()
+            val service = closeAfterTest(FakeService("orders-1"))
+            announce(service.announcement)
+            SlowCaller(vms[0].httpPort).use { caller ->
+                caller.post("/services/orders/order", "b".repeat(LARGE_BYTES))
+                await("the call has run") { service.total == 1 }
+                drain(0)
+                assertNull(runBlocking { withTimeoutOrNull(SLOW_READ_MS) { vms[0].awaitDrained() } })
+                assertTrue("b ran 1 on orders-1\r\n0\r\n\r\n" in caller.readResponse())
+                stopWhenDrained(0)
+            }
+        }
+
         @Test
         fun `interrupts no answer while a load balancer still sends calls`() {
             start(vms = 2)
@@ -114,4 +135,10 @@
             response.abort()
         }
     }
+
+    private companion object {
+        /** More than the sockets of both sides buffer. */
+        const val LARGE_BYTES = 8 * 1_048_576
+        const val SLOW_READ_MS = 1_500L
+    }
 }
