--- a/gentiandale-daemon/src/main/kotlin/gentiandale/daemon/engine/EngineClient.kt
+++ b/gentiandale-daemon/src/main/kotlin/gentiandale/daemon/engine/EngineClient.kt
@@ -105,8 +105,8 @@
         const val CONNECT_TIMEOUT_MS = 1_000L
 
         /**
-         * Closes HTTP/1.1 connections after one call: a late copy of a response there would be taken for the response to
-         * the next call. HTTP/2 numbers its streams.
+         * Closes HTTP/1.1 connections after one call: a late copy of a response there would be taken for the response
+         * to the next call. HTTP/2 numbers its streams.
          */
         val SINGLE_USE_HTTP1 = DecoratingHttpClientFunction { delegate, ctx, request ->
             ctx.log().whenAvailable(RequestLogProperty.SESSION).thenAccept { log ->
