Name an error in the reason for which a connection to a server ends

The guard of request steps ends such requests; their connections still ended as "reset", whatever had failed.

A connection that ends because of an exception other than an I/O error now names it.

--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/upstream/UpstreamConnection.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/upstream/UpstreamConnection.kt
@@ -14,6 +14,7 @@
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
+import java.io.IOException
 
 /**
  * One connection to a backend server, which carries one request at a time, and no request twice. Answers with the id of
@@ -33,7 +34,7 @@
     private var framing = AnswerFraming.NO_BODY
     private var isForeignAnswer = false
     private var isInterimAnswer = false
-    private var isReset = false
+    private var brokenReason: String? = null
     private var isTainted = false
     private var sentCount = 0
     private var hasNotedStray = false
@@ -152,7 +153,7 @@
         isForeignAnswer = false
         isInterimAnswer = false
         if (!isComplete) return
-        if (isReset) return fail("reset")
+        brokenReason?.let { return fail(it) }
         isAnswerComplete = true
         decoder.onAnswerComplete()
         if (!current.isOver) {
@@ -175,13 +176,13 @@
     }
 
     override fun exceptionCaught(ctx: ChannelHandlerContext, cause: Throwable) {
-        isReset = true
+        brokenReason = if (cause is IOException) "reset" else "error: $cause"
         isTainted = true
         ctx.close()
     }
 
     override fun channelInactive(ctx: ChannelHandlerContext) {
-        fail(if (isReset) "reset" else "closed")
+        fail(brokenReason ?: "closed")
         pool.onClosed(this)
     }
 
--- a/gentiandale-relay/src/test/kotlin/gentiandale/relay/TestDialect.kt
+++ b/gentiandale-relay/src/test/kotlin/gentiandale/relay/TestDialect.kt
@@ -53,7 +53,14 @@
 
     override fun isSigned(headers: HttpHeaders): Boolean = headers.contains("signed")
 
-    override fun prefillHandle(body: ByteBuf): String? = body.toString(Charsets.UTF_8).takeIf { it.startsWith("h") }
+    /** Body that this dialect fails to read, as one with a defect would. */
+    const val UNREADABLE_BODY = "unreadable"
+
+    override fun prefillHandle(body: ByteBuf): String? {
+        val text = body.toString(Charsets.UTF_8)
+        check(text != UNREADABLE_BODY)
+        return text.takeIf { it.startsWith("h") }
+    }
 
     override fun releaseCache(handle: String): FullHttpRequest =
         DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.DELETE, "/cache/$handle")
