Find a second answer behind an interim head, and search bodies in linear time

- A second answer that begins with an interim head was not found up to that head, so that a caller got "body" + "HTTP/1.1 103 Early Hints" as a signed 200.
An interim head belongs to the answer that follows it.
- Each byte "H" was searched to the end of its line.
A body of 1 MB of them blocked the event loop for 5.2 s, and the answer was cut by its timeout.
The twelve bytes of a status line are now compared first, and its length is bounded.
- A part of a copy of five or six bytes at the end of a body, "HTTP/", counts as the start of an answer too; the test over all cuts begins there now.

--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/upstream/AnswerStart.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/upstream/AnswerStart.kt
@@ -32,14 +32,17 @@
     }
 
     private fun startAt(bytes: ByteBuf, from: Int): AnswerStart {
+        if (!matchesPattern(bytes, from)) return AnswerStart.None
         var line = from
         while (line - from < MAX_HEAD_BYTES) {
-            val lineFeed = bytes.indexOf(line, minOf(bytes.writerIndex(), line + MAX_HEAD_BYTES), LINE_FEED)
+            val maxLineBytes = if (line == from) MAX_STATUS_LINE_BYTES else MAX_HEAD_BYTES
+            val lineFeed = bytes.indexOf(line, minOf(bytes.writerIndex(), line + maxLineBytes), LINE_FEED)
             val end = if (lineFeed >= 0) lineFeed + 1 else bytes.writerIndex()
             val text = bytes.toString(line, minOf(end - line, MAX_HEAD_BYTES), Charsets.ISO_8859_1)
+            if (text == END_OF_HEAD) return startBehind(bytes, from, end)
             val isPossible = if (line == from) isStatusLine(text) else isHeaderLine(text)
             if (!isPossible) return AnswerStart.None
-            if (lineFeed < 0) return if (end - from < MAX_HEAD_BYTES) AnswerStart.Possible(from) else AnswerStart.None
+            if (lineFeed < 0) return if (end - line < maxLineBytes) AnswerStart.Possible(from) else AnswerStart.None
             val id = if (line == from) null else idOf(text)
             if (id != null) return if (hasCarried(id)) AnswerStart.Found(from, id) else AnswerStart.None
             line = end
@@ -47,6 +50,26 @@
         return AnswerStart.None
     }
 
+    /** Returns whether the bytes from [from] on are, as far as they go, the beginning of a status line. */
+    private fun matchesPattern(bytes: ByteBuf, from: Int): Boolean =
+        (0 until minOf(STATUS_PATTERN.length, bytes.writerIndex() - from)).all { i ->
+            val char = bytes.getByte(from + i).toInt().toChar()
+            if (STATUS_PATTERN[i] == DIGIT) char.isAsciiDigit() else char == STATUS_PATTERN[i]
+        }
+
+    /** Returns the start of the answer with a head without id at [from]; behind an interim one, its final head follows. */
+    private fun startBehind(bytes: ByteBuf, from: Int, next: Int): AnswerStart = when {
+        !isInterim(bytes, from) || next - from >= MAX_HEAD_BYTES -> AnswerStart.None
+        next == bytes.writerIndex() -> AnswerStart.Possible(from)
+        else -> when (val start = startAt(bytes, next)) {
+            is AnswerStart.None -> start
+            is AnswerStart.Possible -> AnswerStart.Possible(from)
+            is AnswerStart.Found -> AnswerStart.Found(from, start.id)
+        }
+    }
+
+    private fun isInterim(bytes: ByteBuf, from: Int) = bytes.getByte(from + STATUS_INDEX) == '1'.code.toByte()
+
     /** Returns whether [line] is a status line, or the beginning of one if it has no line feed. */
     private fun isStatusLine(line: String): Boolean {
         val isPattern = STATUS_PATTERN.indices.all { i ->
@@ -75,9 +98,12 @@
 
     internal companion object {
         /** Shortest beginning of a head that hardly any body ends with. */
-        const val MIN_HEAD_BYTES = "HTTP/1.".length
+        const val MIN_HEAD_BYTES = "HTTP/".length
         private const val DIGIT = '0'
         private const val STATUS_PATTERN = "HTTP/1.0 000"
+        private const val STATUS_INDEX = "HTTP/1.1 ".length
+        private const val END_OF_HEAD = "\r\n"
+        private const val MAX_STATUS_LINE_BYTES = 256
         private const val FIRST_BYTE = 'H'.code.toByte()
         private const val LINE_FEED = '\n'.code.toByte()
 
--- a/gentiandale-relay/src/test/kotlin/gentiandale/relay/UnframedAnswerTest.kt
+++ b/gentiandale-relay/src/test/kotlin/gentiandale/relay/UnframedAnswerTest.kt
@@ -47,6 +47,30 @@
             }
         }
 
+        @Test
+        fun `the second answer is not a part of the body behind an interim head`() {
+            val interim = "HTTP/1.1 103 Early Hints\r\n\r\n"
+            relay.server("a") { request, socket -> answer(request, socket, "body", interim + headOf("r1") + "body") }
+            val answer = relay.get("/once/1")
+            assertTrue(answer.startsWith("HTTP/1.1 200") && answer.endsWith("\r\n\r\nbody"), answer)
+            assertFalse("103" in answer, answer)
+        }
+
+        @Test
+        fun `a body with many first bytes of a status line does not block the event loop`() {
+            val body = "H".repeat(MANY_BYTES)
+            relay.server("a") { request, socket -> answer(request, socket, body, "") }
+            val startNs = System.nanoTime()
+            val answer = relay.get("/once/1")
+            assertEquals(
+                MANY_BYTES,
+                answer.count {
+                    it == 'H'
+                } - answer.substringBefore("\r\n\r\n").count { it == 'H' },
+            )
+            assertTrue(System.nanoTime() - startNs < TIMEOUT_NS)
+        }
+
         @Test
         fun `the second answer is recognised wherever its head is divided`() {
             val second = headOf("r1") + "body"
@@ -242,6 +266,12 @@
         const val SILENCE_MS = 1_000L
 
         /** Length of the shortest part that is taken for the start of a second answer. */
-        const val PROTOCOL_LENGTH = "HTTP/1.".length
+        const val PROTOCOL_LENGTH = "HTTP/".length
+
+        /** Bytes of a body in which many places look like the start of a status line. */
+        const val MANY_BYTES = 1_000_000
+
+        /** The timeout of the route, which the event loop would reach if it searched each place to its end. */
+        const val TIMEOUT_NS = 5_000_000_000L
     }
 }
