Send requests without an id on new connections only

What callers could see (found by a review): a call without an id that went over a used connection got a late copy of an earlier answer as its own. closed such a connection after the call, which protects the next one only.

Beside it, an address that can't be connected to left the request waiting and a connection counted: the pool now reports it as not sent. Connections that carried an id of more than 128 characters are not used again, since callers choose ids.

RepeatedCallTest, "a call without an id is not answered by a late copy on a used connection", failed before: the answer was "first".

--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/upstream/ServerConnectionPool.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/upstream/ServerConnectionPool.kt
@@ -33,11 +33,18 @@
      * called, which may start the next send at once.
      */
     fun send(exchange: Exchange, maxIdleMs: Long) {
-        transport.loop.execute { if (!exchange.isOver) place(exchange, maxIdleMs) }
+        transport.loop.execute {
+            try {
+                if (!exchange.isOver) place(exchange, maxIdleMs)
+            } catch (e: IllegalArgumentException) {
+                failUnsent(exchange, "error: $e")
+            }
+        }
     }
 
     private fun place(exchange: Exchange, maxIdleMs: Long) {
-        val ready = takeIdle(maxIdleMs, exchange.requestId)
+        // A late copy of an earlier answer passes for the answer to a request without an id.
+        val ready = exchange.requestId?.let { takeIdle(maxIdleMs, it) }
         when {
             ready != null -> start(exchange, ready)
             open >= maxConnections() && !closeOldestIdle() -> failUnsent(exchange, "all $open connections in use")
@@ -60,7 +67,7 @@
         idle.toList().forEach { it.close() }
     }
 
-    private fun takeIdle(maxIdleMs: Long, requestId: String?): UpstreamConnection? {
+    private fun takeIdle(maxIdleMs: Long, requestId: String): UpstreamConnection? {
         val now = nowMs()
         val skipped = ArrayDeque<UpstreamConnection>()
         var found: UpstreamConnection? = null
@@ -68,7 +75,7 @@
             val last = idle.removeLast()
             when {
                 !last.isUsable || now >= last.usableUntilMs || now - last.idleSinceMs > maxIdleMs -> last.close()
-                requestId != null && last.hasCarried(requestId) -> skipped.addFirst(last)
+                last.hasCarried(requestId) -> skipped.addFirst(last)
                 else -> found = last
             }
         }
@@ -83,7 +90,6 @@
     }
 
     private fun connect(exchange: Exchange) {
-        open++
         val bootstrap = transport.client(CONNECT_TIMEOUT_MS).handler(object : ChannelInitializer<SocketChannel>() {
             override fun initChannel(channel: SocketChannel) {
                 val decoder = AnswerDecoder(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES, dialect)
@@ -91,7 +97,9 @@
                 channel.pipeline().addLast(HttpRequestEncoder(), decoder, connection)
             }
         })
-        bootstrap.connect(address.host, address.port).addListener { onConnected(exchange, it as ChannelFuture) }
+        val connected = bootstrap.connect(address.host, address.port)
+        open++
+        connected.addListener { onConnected(exchange, it as ChannelFuture) }
     }
 
     private fun onConnected(exchange: Exchange, future: ChannelFuture) {
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/upstream/UpstreamConnection.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/upstream/UpstreamConnection.kt
@@ -67,8 +67,8 @@
         next.use = ConnectionUse(number, sentCount)
         interimCount = 0
         if (sentCount >= MAX_REQUESTS) isTainted = true
-        // Nothing tells the answer to a request without an id from a late copy of an earlier one.
-        if (next.requestId == null) isTainted = true
+        // Nothing tells a late copy of its answer from the next one; long ids are not kept, since callers choose them.
+        if (next.requestId == null || next.requestId.length > MAX_ID_LENGTH) isTainted = true
         decoder.expect(next.requestId, isHead = request.method() == HttpMethod.HEAD)
         channel.writeAndFlush(request).addListener {
             isRequestWritten = it.isSuccess
@@ -211,6 +211,7 @@
 
         /** Bounds the ids that a connection remembers; a new connection for that many requests costs little. */
         const val MAX_REQUESTS = 256
+        const val MAX_ID_LENGTH = 128
         const val KEEP_ALIVE = "Keep-Alive"
         const val MS_PER_S = 1_000L
 
--- a/gentiandale-relay/src/test/kotlin/gentiandale/relay/RepeatedCallTest.kt
+++ b/gentiandale-relay/src/test/kotlin/gentiandale/relay/RepeatedCallTest.kt
@@ -7,6 +7,7 @@
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertFalse
 import kotlin.test.assertTrue
 
 /** Callers that send a request again, with the same id, after its first answer. */
@@ -31,6 +32,19 @@
         return run()
     }
 
+    @Test
+    fun `a call without an id is not answered by a late copy on a used connection`() {
+        relay.server("a") { request, socket ->
+            val first = RawRequest("GET / HTTP/1.1\r\nid: r1\r\n\r\n", "")
+            if (request.header("id") == null && !used.add(socket)) FakeServer.reply(socket, first, "first")
+            used.add(socket)
+            FakeServer.reply(socket, request, if (request.header("id") == null) "second" else "first")
+        }
+        relay.get("/once/1")
+        val answer = relay.exchange("GET /once/2 HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n")
+        assertFalse(answer.endsWith("first"), answer)
+    }
+
     @Test
     fun `a call runs once after the rejection of the first one`() {
         relay.server("a") { request, socket ->
