--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/upstream/AnswerStart.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/upstream/AnswerStart.kt
@@ -33,21 +33,31 @@
 
     private fun startAt(bytes: ByteBuf, from: Int): AnswerStart {
         if (!matchesPattern(bytes, from)) return AnswerStart.None
+        var start: AnswerStart? = null
         var line = from
-        while (line - from < MAX_HEAD_BYTES) {
-            val maxLineBytes = if (line == from) MAX_STATUS_LINE_BYTES else MAX_HEAD_BYTES
-            val lineFeed = bytes.indexOf(line, minOf(bytes.writerIndex(), line + maxLineBytes), LINE_FEED)
-            val end = if (lineFeed >= 0) lineFeed + 1 else bytes.writerIndex()
-            val text = bytes.toString(line, minOf(end - line, MAX_HEAD_BYTES), Charsets.ISO_8859_1)
-            if (text == END_OF_HEAD) return startBehind(bytes, from, end)
-            val isPossible = if (line == from) isStatusLine(text) else isHeaderLine(text)
-            if (!isPossible) return AnswerStart.None
-            if (lineFeed < 0) return if (end - line < maxLineBytes) AnswerStart.Possible(from) else AnswerStart.None
-            val id = if (line == from) null else idOf(text)
-            if (id != null) return if (hasCarried(id)) AnswerStart.Found(from, id) else AnswerStart.None
+        while (start == null && line - from < MAX_HEAD_BYTES) {
+            val maxBytes = if (line == from) MAX_STATUS_LINE_BYTES else MAX_HEAD_BYTES
+            val maxEnd = minOf(bytes.writerIndex(), line + maxBytes)
+            val lineFeed = bytes.indexOf(line, maxEnd, LINE_FEED)
+            val end = if (lineFeed >= 0) lineFeed + 1 else maxEnd
+            val isCut = lineFeed < 0 && end - line < maxBytes
+            start = if (lineFeed < 0 && !isCut) AnswerStart.None else judgeLine(bytes, from, line, end, isCut)
             line = end
         }
-        return AnswerStart.None
+        return start ?: AnswerStart.None
+    }
+
+    /** Judges a line, which may be [isCut], of the head at [from]; returns null if the next line decides. */
+    private fun judgeLine(bytes: ByteBuf, from: Int, line: Int, end: Int, isCut: Boolean): AnswerStart? {
+        val text = bytes.toString(line, end - line, Charsets.ISO_8859_1)
+        val isStatusLine = line == from
+        return when {
+            text == END_OF_HEAD -> startBehind(bytes, from, end)
+            !(if (isStatusLine) isStatusLine(text) else isHeaderLine(text)) -> AnswerStart.None
+            isCut -> AnswerStart.Possible(from)
+            isStatusLine -> null
+            else -> idOf(text)?.let { if (hasCarried(it)) AnswerStart.Found(from, it) else AnswerStart.None }
+        }
     }
 
     /** Returns whether the bytes from [from] on are, as far as they go, the beginning of a status line. */
@@ -57,7 +67,7 @@
             if (STATUS_PATTERN[i] == DIGIT) char.isAsciiDigit() else char == STATUS_PATTERN[i]
         }
 
-    /** Returns the start of the answer with a head without id at [from]; behind an interim one, its final head follows. */
+    /** Returns the start of an answer whose head at [from] has no id: an interim head is followed by the final one. */
     private fun startBehind(bytes: ByteBuf, from: Int, next: Int): AnswerStart = when {
         !isInterim(bytes, from) || next - from >= MAX_HEAD_BYTES -> AnswerStart.None
         next == bytes.writerIndex() -> AnswerStart.Possible(from)
