Count the time to accept waiting connections from the event loop's response

What callers could see: connections that wait to be accepted are reset as a stopping entry VM closes its listening socket, if the event loop is busy.

Cause: the 500 ms in which waiting connections are accepted began when the shutdown asked the event loop, not when the loop responded. On a busy loop that time was over before the first connection was accepted.

--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/caller/GracefulShutdown.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/caller/GracefulShutdown.kt
@@ -24,7 +24,7 @@
     public fun run(window: ShutdownWindow): Boolean {
         onLoop { server.isDraining = true }
         while (!window.isEnding(nowMs()) && !isQuiet(window)) Thread.sleep(POLL_MS)
-        stopListening(minOf(nowMs() + MAX_ACCEPT_MS, window.endMs))
+        stopListening(window)
         while (openConnections() > 0 && nowMs() < window.endMs) Thread.sleep(POLL_MS)
         return !onLoop { server.isBusy }
     }
@@ -32,9 +32,11 @@
     private fun isQuiet(window: ShutdownWindow): Boolean =
         nowMs() - window.sinceMs >= minMs && onLoop { server.quietMs } >= quietMs
 
-    /** Stops listening at [endMs], or before that when all connections that wait have been accepted. */
-    private fun stopListening(endMs: Long) {
+    /** Stops listening when all connections that wait have been accepted, or at the latest at the end of [window]. */
+    private fun stopListening(window: ShutdownWindow) {
         var accepted = onLoop { server.acceptedCount }
+        // The time begins when the event loop responds: until then it accepts nothing.
+        val endMs = minOf(nowMs() + MAX_ACCEPT_MS, window.endMs)
         do {
             val before = accepted
             accepted = afterReading {
