Let a broken copy before a second answer end the body too

Behind a body without a length came 34 bytes of the head of a copy of an earlier answer, and then the second answer.

Cause: the search found the second answer at its own head only. The part of a head before it could not become a head any more, so it counted as body.

Ruled out: the framing of the first answer (connection-end, as logged) and bytes behind the second answer, which were logged as a surplus with the right id.

A head that was broken off right before a possible or found start now belongs to it, up to eight of them, so that the body ends before the first.

UnframedAnswerTest, "a copy that was broken off before the second answer is not a part of the body", failed before, by the length of the part: "expected: <[]> but was: <[5, 6, 7, 8, 9, 10, 11, 12, 17, 18, 19]>".

--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/upstream/AnswerStart.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/upstream/AnswerStart.kt
@@ -20,8 +20,14 @@
  * requests that the connection [hasCarried], since a body may hold any text.
  */
 internal class AnswerStartFinder(private val dialect: Dialect, private val hasCarried: (String) -> Boolean) {
-    /** Searches the readable part of [bytes]. */
-    fun find(bytes: ByteBuf): AnswerStart {
+    /** Searches the readable part of [bytes]. A head that was broken off right before the start belongs to it. */
+    fun find(bytes: ByteBuf): AnswerStart = when (val start = findFirst(bytes)) {
+        is AnswerStart.None -> start
+        is AnswerStart.Possible -> AnswerStart.Possible(withBrokenHeads(bytes, start.index))
+        is AnswerStart.Found -> AnswerStart.Found(withBrokenHeads(bytes, start.index), start.id)
+    }
+
+    private fun findFirst(bytes: ByteBuf): AnswerStart {
         var from = bytes.indexOf(bytes.readerIndex(), bytes.writerIndex(), FIRST_BYTE)
         while (from >= 0) {
             val start = startAt(bytes, from)
@@ -31,6 +37,19 @@
         return AnswerStart.None
     }
 
+    /** Returns the index of the first of the heads that were broken off one after the other before [index]. */
+    private fun withBrokenHeads(bytes: ByteBuf, index: Int): Int {
+        var first = index
+        var copies = 0
+        while (copies++ < MAX_BROKEN_HEADS) {
+            val from = maxOf(bytes.readerIndex(), first - MAX_HEAD_BYTES)
+            val before = findFirst(bytes.slice(from, first - from))
+            if (before !is AnswerStart.Possible || first - from - before.index < MIN_HEAD_BYTES) break
+            first = from + before.index
+        }
+        return first
+    }
+
     private fun startAt(bytes: ByteBuf, from: Int): AnswerStart {
         if (!matchesPattern(bytes, from)) return AnswerStart.None
         var start: AnswerStart? = null
@@ -114,6 +133,7 @@
         private const val STATUS_INDEX = "HTTP/1.1 ".length
         private const val END_OF_HEAD = "\r\n"
         private const val MAX_STATUS_LINE_BYTES = 256
+        private const val MAX_BROKEN_HEADS = 8
         private const val FIRST_BYTE = 'H'.code.toByte()
         private const val LINE_FEED = '\n'.code.toByte()
 
--- a/gentiandale-relay/src/test/kotlin/gentiandale/relay/UnframedAnswerTest.kt
+++ b/gentiandale-relay/src/test/kotlin/gentiandale/relay/UnframedAnswerTest.kt
@@ -56,6 +56,24 @@
             assertFalse("103" in answer, answer)
         }
 
+        @Test
+        fun `a copy that was broken off before the second answer is not a part of the body`() {
+            val second = headOf("r1") + "body"
+            val cut = AtomicInteger()
+            val earlier = headOf("r0")
+            relay.server("a") { request, socket ->
+                answer(request, socket, "body", earlier.take(cut.get()))
+                Thread.sleep(SEGMENT_MS)
+                socket.write(second)
+                false
+            }
+            val mixed = (PROTOCOL_LENGTH..earlier.indexOf("id:") + 2).filter {
+                cut.set(it)
+                !relay.get("/once/1").endsWith("\r\n\r\nbody")
+            }
+            assertEquals(emptyList(), mixed)
+        }
+
         @Test
         fun `a body with many first bytes of a status line does not block the event loop`() {
             val body = "H".repeat(MANY_BYTES)
