Log what is done about a silent stream, and idle connections that are closed

Callers saw requests end without an answer, and the logs could not tell whether this system had given up a silent server, why it had gone on waiting, or whether it had closed an idle connection of the caller. stream-silent now states the decision, its reason and the length of each silence, a counter follows them, and caller-cut names the idle time in force on the connection. No decision changes.

--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/RelayEvent.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/RelayEvent.kt
@@ -241,6 +241,28 @@
         }
     }
 
+    /**
+     * A server has sent no event of a stream for some time.
+     *
+     * @param events events of the stream that this send has yielded.
+     * @param waitedMs time in milliseconds since the last event, or since the request was sent.
+     * @param decision what this VM does about it.
+     * @param reason why, if it goes on waiting.
+     */
+    public class StreamSilent(
+        private val request: String?,
+        private val server: ServerId,
+        private val events: Int?,
+        private val waitedMs: Long,
+        private val decision: String,
+        private val reason: String? = null,
+    ) : RelayEvent("stream-silent") {
+        override fun describe(line: LogLine) {
+            line.field("request", request).field("server", server.value).field("events", events)
+                .field("waited_ms", waitedMs).field("decision", decision).field("reason", reason)
+        }
+    }
+
     /** A generation drops its reservation, since other VMs reserved the same capacity a moment earlier. */
     public class ReservationConflict(
         private val request: String?,
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/RelayMetrics.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/RelayMetrics.kt
@@ -44,6 +44,11 @@
         .name("gentiandale_quarantined_requests_total")
         .help("Requests kept away from servers, as they or a part of their prompt have crashed some.")
         .register(registry)
+    private val silences = Counter.builder()
+        .name("gentiandale_stream_silences_total")
+        .help("Times that a server sent no event of a stream for a second or so, by what was done.")
+        .labelNames("decision")
+        .register(registry)
     private val duration = histogram(registry, "gentiandale_request_duration_seconds", "Time to the end of a request.")
     private val first = histogram(registry, "gentiandale_first_byte_seconds", "Time to the first byte of the answer.")
 
@@ -81,6 +86,10 @@
         quarantined.inc()
     }
 
+    override fun onStreamSilent(decision: String) {
+        silences.labelValues(decision).inc()
+    }
+
     private fun histogram(registry: PrometheusRegistry, name: String, help: String) = Histogram.builder()
         .name(name)
         .help(help)
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/RelayStats.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/RelayStats.kt
@@ -26,6 +26,9 @@
     /** Records a request that was kept away from servers, as it or a part of its prompt has crashed some. */
     public fun onQuarantined()
 
+    /** Records a server that sent no event of a stream for some time, and the [decision] about the stream. */
+    public fun onStreamSilent(decision: String)
+
     /** Provides an implementation without effect. */
     public companion object {
         /** Discards all measurements. */
@@ -45,6 +48,8 @@
             override fun onSuspectedCrash() = Unit
 
             override fun onQuarantined() = Unit
+
+            override fun onStreamSilent(decision: String) = Unit
         }
     }
 }
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/caller/HttpServerConnection.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/caller/HttpServerConnection.kt
@@ -226,7 +226,7 @@
     }
 
     private fun onIdleTimeout() {
-        if (!isBusy) channel.close()
+        if (!isBusy) abort("idle for ${limits.idleTimeoutMs} ms")
     }
 
     private fun startTimer(delayMs: Long, action: () -> Unit) {
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/GenerationRequestHandler.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/GenerationRequestHandler.kt
@@ -197,13 +197,22 @@
         if (send.isPaused) return watchEvents(send, delayMs, waitedMs)
         val quietMs = send.server.lastByteMs?.let { context.nowMs() - it } ?: Long.MAX_VALUE
         if (quietMs < delayMs && waitedMs < MAX_EVENT_GAP_MS) return watchEvents(send, delayMs, waitedMs)
-        if (context.budgetOf(routed.service).remaining(context.nowMs()) <= 0) return
+        if (context.budgetOf(routed.service).remaining(context.nowMs()) <= 0) {
+            return noteSilence(send, waitedMs, "wait", "retry budget of ${routed.service.value} exhausted")
+        }
+        noteSilence(send, waitedMs, "leave", null)
         send.recordFailure("no stream event for $waitedMs ms")
         send.cancel()
         tried += send.server.row.id
         restart()
     }
 
+    private fun noteSilence(send: Send, waitedMs: Long, decision: String, reason: String?) {
+        val events = send.handler.eventCount
+        context.log.write(RelayEvent.StreamSilent(routed.id, send.server.row.id, events, waitedMs, decision, reason))
+        context.stats.onStreamSilent(decision)
+    }
+
     override fun onCache(server: Backend, handle: String) {
         cache = KvCache(server, handle, routed.id)
         // VMs that reserve at the same moment don't see each other's load at once; after the prefill they do.
