Keep a silent server until another one has accepted the stream

What callers saw: a stream that was cut, or a request that failed with 502, about a second after its last event, although its server went on later.

Cause: after 1.0 s without an event (1.2 s before the first) the relay closed the connection to the server and only then looked for another one. Without one, with all of them full, with a full queue, with too little retry budget or with a rejection the request had lost the only server that worked on it. The class: a resource in use is released before its replacement is secured.

Now the connection stays open while another server is looked for, and is closed once that server has begun the stream, at the latest 250 ms after the request was sent to it, as two servers must not work on a request for longer. If the silent server goes on first, or nobody takes the stream, it stays where it is. What to do about a silence is decided in SilencePolicy, without I/O.

Ruled out: the change itself; a request keeps its route, rule and deadline.

--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/GenerationCall.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/GenerationCall.kt
@@ -29,8 +29,11 @@
         /** Counts an attempt and returns the HTTP request to write. */
         fun startAttempt(generation: GenerationCall): FullHttpRequest
 
-        /** Called after each event that has been forwarded. */
-        fun onEvent()
+        /** Called when the server of [generation] has begun the stream. */
+        fun onAccepted(generation: GenerationCall)
+
+        /** Called after each event of [generation] that has been forwarded. */
+        fun onEvent(generation: GenerationCall)
 
         /** Called once when [generation] has shown that its engine can answer the request. */
         fun onEstablished(generation: GenerationCall)
@@ -72,6 +75,7 @@
 
     override fun onHead(head: HttpResponse) {
         this.head = head
+        if (isStream(head)) listener.onAccepted(this)
     }
 
     override val bodyTimeoutMs: Long?
@@ -97,7 +101,7 @@
             return
         }
         stream.forward(event, answer)
-        if (!event.isComment) listener.onEvent()
+        if (!event.isComment) listener.onEvent(this)
     }
 
     private fun countEvent() {
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/GenerationRequestHandler.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/GenerationRequestHandler.kt
@@ -7,6 +7,9 @@
 import gentiandale.relay.backend.GenerationMemory
 import gentiandale.relay.placement.GenerationPlan
 import gentiandale.relay.placement.QueuedGeneration
+import gentiandale.relay.placement.Silence
+import gentiandale.relay.placement.SilencePolicy
+import gentiandale.relay.placement.SilenceStep
 import gentiandale.relay.routing.Repetition
 import gentiandale.relay.upstream.GenerationSize
 import gentiandale.relay.upstream.SendFailure
@@ -26,12 +29,14 @@
     private val engine = routed.rule?.engine
     private val need = GenerationMemory(size.prompt, context.answerLengths.estimate(route.name, size), size.answer)
     private val promptReservation = PromptReservation(size.prompt)
-    private val reservation = MemoryReservation(need, engine?.tokensPerEvent ?: 1, ::onReservationChanged)
+    private var reservation = newReservation()
     private val stream = CallerStream(routed.reply, progress, context.nowMs)
     private var cache: KvCache? = null
     private var prefillCount = 0
     private var gapTimer: ScheduledFuture<*>? = null
     private var currentSend: Send? = null
+    private var silent: SilentStream? = null
+    private var placements = 0
     private var rejections = 0
     private var conflicts = 0
     private var stateBeforeRun = runState
@@ -40,9 +45,21 @@
         QueuedGeneration(route.urgency, routed.request.startMs, routed.request.startMs + route.targetMs)
         private set
 
+    /** The send to a server that has fallen silent. It stays open until another server has accepted the stream. */
+    private inner class SilentStream(val send: Send, val reservation: MemoryReservation, val sinceMs: Long)
+
+    private fun newReservation() = MemoryReservation(need, engine?.tokensPerEvent ?: 1, ::onReservationChanged)
+
     override fun hasBegun(): Boolean = stream.hasBegun
 
     override fun releaseResources() {
+        releasePlacement()
+        silent?.reservation?.release()
+        silent = null
+    }
+
+    private fun releasePlacement() {
+        placements++
         gapTimer?.cancel(false)
         context.queue.remove(this)
         reservation.release()
@@ -77,7 +94,10 @@
                 reservation.reserve(plan.decode)
                 promptReservation.reserve(plan.prefill ?: plan.decode)
                 logReserved(plan, now)
-                context.listener.confirmLoad { guard.execute { if (!isOver) onReservationConfirmed(plan) } }
+                val placement = ++placements
+                context.listener.confirmLoad {
+                    guard.execute { if (!isOver && placement == placements) onReservationConfirmed(plan) }
+                }
             }
         }
         return true
@@ -181,32 +201,71 @@
         watchEvents(send, (prefillMs * PREFILL_TIMEOUT_FACTOR).toLong() + FIRST_EVENT_MARGIN_MS, 0)
     }
 
-    /** Moves the request to another server if [send] yields no event for [delayMs] milliseconds. */
+    /** Asks another server to take the request over if [send] yields no event for [delayMs] milliseconds. */
     private fun watchEvents(send: Send, delayMs: Long, waitedMs: Long) {
         gapTimer?.cancel(false)
         if (route.repetition != Repetition.RESUMABLE || attempts > route.maxAttempts) return
         gapTimer = schedule(delayMs) { onEventGap(send, delayMs, waitedMs + delayMs) }
     }
 
-    /**
-     * Moves the request to another server. If the server still sends events of other requests, it has only preempted
-     * this one, and waiting longer is cheaper than moving it.
-     */
     private fun onEventGap(send: Send, delayMs: Long, waitedMs: Long) {
-        if (isOver || currentSend !== send || attempts >= route.maxAttempts) return
-        if (send.isPaused) return watchEvents(send, delayMs, waitedMs)
-        val quietMs = send.server.lastByteMs?.let { context.nowMs() - it } ?: Long.MAX_VALUE
-        if (quietMs < delayMs && waitedMs < MAX_EVENT_GAP_MS) return watchEvents(send, delayMs, waitedMs)
-        if (context.budgetOf(routed.service).remaining(context.nowMs()) <= 0) {
-            return noteSilence(send, waitedMs, "wait", "retry budget of ${routed.service.value} exhausted")
+        if (isOver || currentSend !== send) return
+        val now = context.nowMs()
+        val step = SilencePolicy.next(
+            Silence(waitedMs, send.server.lastByteMs?.let { now - it }, send.isPaused),
+            limitMs = delayMs,
+            hasAttempt = attempts < route.maxAttempts,
+            hasBudget = context.budgetOf(routed.service).remaining(now) > 0,
+        )
+        when (step) {
+            is SilenceStep.Wait -> {
+                noteSilence(send, waitedMs, "wait", step.reason)
+                if (!step.isFinal) watchEvents(send, delayMs, waitedMs)
+            }
+            is SilenceStep.Move -> {
+                noteSilence(send, waitedMs, "move", null)
+                send.onSilence()
+                tried += send.server.row.id
+                silent = SilentStream(send, reservation, now - waitedMs)
+                reservation = newReservation()
+                restart()
+            }
         }
-        noteSilence(send, waitedMs, "leave", null)
-        send.recordFailure("no stream event for $waitedMs ms")
-        send.cancel()
-        tried += send.server.row.id
-        restart()
     }
 
+    /** Closes the connection to the silent server, as another one has taken the stream over. */
+    private fun leaveSilentServer() {
+        val left = silent ?: return
+        silent = null
+        left.send.logFailure("no stream event for ${context.nowMs() - left.sinceMs} ms")
+        left.send.cancel()
+        left.reservation.release()
+    }
+
+    override fun returnToServer(reason: String): Boolean {
+        val previous = silent ?: return false
+        silent = null
+        currentSend?.cancel()
+        releasePlacement()
+        permits.release()
+        currentSend = previous.send
+        reservation = previous.reservation
+        tried -= previous.send.server.row.id
+        noteSilence(previous.send, context.nowMs() - previous.sinceMs, "return", reason)
+        watchEvents(previous.send, EVENT_GAP_TIMEOUT_MS, context.nowMs() - previous.sinceMs)
+        return true
+    }
+
+    /** Returns whether [generation] was the one at a silent server, which has ended; the request is being moved. */
+    private fun endSilentStream(generation: GenerationCall): Boolean {
+        val ended = silent?.takeIf { it.send.handler === generation } ?: return false
+        silent = null
+        ended.reservation.release()
+        return true
+    }
+
+    private fun isAtSilentServer(generation: GenerationCall) = silent?.send?.handler === generation
+
     private fun noteSilence(send: Send, waitedMs: Long, decision: String, reason: String?) {
         val events = send.handler.eventCount
         context.log.write(RelayEvent.StreamSilent(routed.id, send.server.row.id, events, waitedMs, decision, reason))
@@ -253,6 +312,9 @@
 
     override fun startAttempt(generation: GenerationCall): FullHttpRequest {
         attempts++
+        if (silent != null) {
+            schedule(MAX_OVERLAP_MS) { if (currentSend?.handler === generation) leaveSilentServer() }
+        }
         countSend()
         stateBeforeRun = runState
         runState = RunState.MAY_HAVE_RUN
@@ -262,7 +324,12 @@
         }
     }
 
-    override fun onEvent() {
+    override fun onAccepted(generation: GenerationCall) {
+        if (!isAtSilentServer(generation)) leaveSilentServer()
+    }
+
+    override fun onEvent(generation: GenerationCall) {
+        if (isAtSilentServer(generation)) returnToServer("the server goes on")
         reservation.onEvent()
         currentSend?.let { watchEvents(it, EVENT_GAP_TIMEOUT_MS, 0) }
     }
@@ -275,8 +342,12 @@
     }
 
     override fun onRejected(generation: GenerationCall, status: Int) {
-        runState = stateBeforeRun
         attempts--
+        if (endSilentStream(generation)) {
+            if (attempts == 0) runState = RunState.NOT_RUN
+            return
+        }
+        runState = stateBeforeRun
         rejections++
         currentSend?.logFailure("request not executed: status $status")
         val server = generation.server
@@ -292,6 +363,7 @@
     override fun onBadAnswer(generation: GenerationCall, head: HttpResponse, body: ByteBuf) {
         val status = head.status()
         val isSuccess = status.codeClass() == HttpStatusClass.SUCCESS
+        if (endSilentStream(generation)) return
         currentSend?.recordFailure("unusable answer: status ${status.code()}")
         tried += generation.server.row.id
         when {
@@ -310,6 +382,7 @@
         if (failure is SendFailure.Broken && !generation.isEstablished) {
             crashSuspect.onBroken(generation.server)
         }
+        if (endSilentStream(generation)) return
         when {
             failure is SendFailure.NotSent && generation.source != null -> {
                 cache = generation.source
@@ -353,8 +426,8 @@
         /** A gap that makes a stream late and is longer than the retransmission of a lost packet. */
         const val EVENT_GAP_TIMEOUT_MS = 1_000L
 
-        /** Callers give up after a slightly longer gap than this. */
-        const val MAX_EVENT_GAP_MS = 2_200L
+        /** Time in milliseconds for which two servers may work on a stream that is being moved. */
+        const val MAX_OVERLAP_MS = 250L
 
         /** Time in which an engine finishes a few requests; the caller is told to retry after it. */
         const val RETRY_AFTER_MS = 1_000L
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/RequestHandler.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/RequestHandler.kt
@@ -71,7 +71,7 @@
 
     private fun onError(error: Exception) {
         context.log.write(RelayEvent.StepFailed(routed.id, error))
-        if (isOver) running.toList().forEach { it.cancel() } else fail("internal error: $error")
+        if (isOver) running.toList().forEach { it.cancel() } else end("internal error: $error")
     }
 
     /** Ends the request because the caller has closed its connection. */
@@ -107,8 +107,12 @@
     /** Returns whether a part of the answer has been sent to the caller. */
     protected abstract fun hasBegun(): Boolean
 
+    /** Returns whether the request goes on at its previous server, as it can't be moved to another one for [reason]. */
+    protected open fun returnToServer(reason: String): Boolean = false
+
     /** Refuses the request, which has not run and will not. The caller is told to retry after [retryAfterMs]. */
     protected fun refuse(reason: String, retryAfterMs: Long) {
+        if (returnToServer(reason)) return
         if (runState != RunState.NOT_RUN) return fail(reason)
         val headers = DefaultHttpHeaders()
         val jitter = context.random.nextLong(retryAfterMs / 2 + 1)
@@ -123,6 +127,10 @@
 
     /** Ends the request with an error, or aborts the answer if a part of it has been sent. */
     protected fun fail(reason: String) {
+        if (!returnToServer(reason)) end(reason)
+    }
+
+    private fun end(reason: String) {
         if (hasBegun()) abort(reason) else answerWithStatus(BAD_GATEWAY, "failed", reason)
     }
 
@@ -275,9 +283,14 @@
 
         /** Records a failure of the server for [reason] and reports an engine as suspect. */
         fun recordFailure(reason: String) {
+            onSilence()
+            logFailure(reason)
+        }
+
+        /** Charges the server with a failure, though the send goes on, and reports an engine as suspect. */
+        fun onSilence() {
             server.onFailure(context.nowMs())
             if (server.row.kind != ServerKind.PLAIN) context.listener.onSuspect(server.row.id)
-            logFailure(reason)
         }
 
         /** Logs why this send failed. */
