Log the software version of servers and the streams that callers take up

Streams were joined from two software versions, and the logs could not tell which version had begun one, whether callers name the first attempt, or which version a server runs. A heartbeat's version is now part of a server's row; fleet/server and relay/placed name it, and taken-up names the first attempt of a stream and its last event. No decision changes.

--- a/gentiandale-core/src/main/kotlin/gentiandale/core/backend/BackendRow.kt
+++ b/gentiandale-core/src/main/kotlin/gentiandale/core/backend/BackendRow.kt
@@ -41,6 +41,7 @@
  * @param places requests that it runs at once.
  * @param weights version of its model weights; 0 where it has none or reports none.
  * @param silent whether control VMs have received no heartbeat for several intervals.
+ * @param software version of its software.
  * @param departing whether it has said in an answer that it leaves, which holds for the rest of its incarnation.
  */
 @Serializable
@@ -57,6 +58,7 @@
     @SerialName("w") val weights: Long = 0,
     @SerialName("x") val silent: Boolean = false,
     @SerialName("l") val departing: Boolean = false,
+    @SerialName("v") val software: SoftwareVersion = SoftwareVersion.UNKNOWN,
 ) {
     /** Whether it accepts new work. */
     val acceptsWork: Boolean get() = state == BackendState.READY && !departing
--- a/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/FleetLogEvent.kt
+++ b/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/FleetLogEvent.kt
@@ -18,7 +18,8 @@
             line.field("server", row.id.value).field("incarnation", row.incarnation.value).field("seq", row.sequence)
                 .field("service", row.service.value).field("address", row.address.toString())
                 .field("data_centre", row.dataCentre.value).field("kind", row.kind.name.lowercase())
-                .field("state", row.state.name.lowercase()).field("silent", row.silent).field("source", source)
+                .field("state", row.state.name.lowercase()).field("silent", row.silent)
+                .field("software", row.software.value.ifEmpty { null }).field("source", source)
         }
     }
 
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/RelayEvent.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/RelayEvent.kt
@@ -7,6 +7,7 @@
 import gentiandale.core.backend.CrashRecord
 import gentiandale.core.backend.LimitStatement
 import gentiandale.core.backend.RequestTrait
+import gentiandale.core.backend.SoftwareVersion
 import gentiandale.core.log.LogEvent
 import gentiandale.core.log.LogLine
 import gentiandale.relay.backend.GenerationMemory
@@ -60,6 +61,7 @@
      * @param localLoad load of this VM at the server when it was chosen.
      * @param peerLoad load of the other VMs at the server, as last reported.
      * @param limit limit of the server in requests a second for all VMs together, or null if it has named none.
+     * @param software version of the software of the server.
      */
     public class Placed(
         private val request: String?,
@@ -72,6 +74,7 @@
         private val passedOver: String?,
         private val leftMs: Long,
         private val limit: Double? = null,
+        private val software: SoftwareVersion = SoftwareVersion.UNKNOWN,
     ) : RelayEvent("placed") {
         override fun describe(line: LogLine) {
             line.field("request", request).field("route", route).field("version", version).field("step", operation)
@@ -79,6 +82,23 @@
                 .field("others_running", peerLoad.running)
                 .field("memory_tokens", localLoad.memoryTokens).field("others_memory_tokens", peerLoad.memoryTokens)
                 .field("passed_over", passedOver).field("left_ms", leftMs).field("limit_per_s", limit)
+                .field("software", software.value.ifEmpty { null })
+        }
+    }
+
+    /**
+     * A caller takes up a stream that was broken off.
+     *
+     * @param first id of the request that brought its first event, or null if the caller doesn't state it.
+     * @param lastEvent id of the last event that the caller has received, or null.
+     */
+    public class TakenUp(
+        private val request: String?,
+        private val first: String?,
+        private val lastEvent: String?,
+    ) : RelayEvent("taken-up") {
+        override fun describe(line: LogLine) {
+            line.field("request", request).field("first_request", first).field("last_event", lastEvent)
         }
     }
 
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/GenerationRequestHandler.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/GenerationRequestHandler.kt
@@ -68,6 +68,14 @@
         cache = null
     }
 
+    init {
+        val first = context.dialect.firstRequestId(routed.headers)
+        val lastEvent = context.dialect.lastEventId(routed.headers)
+        if (first != null || lastEvent != null) {
+            context.log.write(RelayEvent.TakenUp(routed.id, first, lastEvent))
+        }
+    }
+
     override fun dispatch() = context.queue.enqueue(this)
 
     override fun reject(reason: String) = refuseOrFail(reason)
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/RequestHandler.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/RequestHandler.kt
@@ -246,6 +246,7 @@
                 passedOver,
                 leftMs(),
                 server.limit.perSecond(context.nowMs()),
+                server.row.software,
             ),
         )
         send.exchange = context.upstreams.send(server, routed.id, maxIdleMs, guard.guarded(send))
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/upstream/Dialect.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/upstream/Dialect.kt
@@ -27,6 +27,9 @@
     /** Returns the id of the last event of a stream that the caller has received, or null. */
     public fun lastEventId(headers: HttpHeaders): String?
 
+    /** Returns the id of the request that brought the first event of a stream which the caller takes up, or null. */
+    public fun firstRequestId(headers: HttpHeaders): String?
+
     /** Removes the headers that only this system may set. */
     public fun removeReserved(headers: HttpHeaders)
 
--- a/gentiandale-relay/src/test/kotlin/gentiandale/relay/TestDialect.kt
+++ b/gentiandale-relay/src/test/kotlin/gentiandale/relay/TestDialect.kt
@@ -25,6 +25,8 @@
 
     override fun lastEventId(headers: HttpHeaders): String? = headers.get("after")
 
+    override fun firstRequestId(headers: HttpHeaders): String? = headers.get("resumes")
+
     override fun removeReserved(headers: HttpHeaders) {
         listOf("server", "stage", "cache").forEach(headers::remove)
     }
