Show that streams are joined from two software versions

Four of the six tests fail: the system resumes a broken stream, and lets a caller take one up, at a server of another software version, also if none of the version that began it is left and if nobody knows which one it was. The first hypothesis holds: no choice of a server looks at its version.

--- a/gentiandale-relay/src/test/kotlin/gentiandale/relay/Fixtures.kt
+++ b/gentiandale-relay/src/test/kotlin/gentiandale/relay/Fixtures.kt
@@ -8,6 +8,7 @@
 import gentiandale.core.backend.BackendRow
 import gentiandale.core.backend.BackendState
 import gentiandale.core.backend.ServiceName
+import gentiandale.core.backend.SoftwareVersion
 
 internal val SERVICE = ServiceName("drafts")
 internal val HOME = DataCentreId("home")
@@ -19,6 +20,7 @@
     dataCentre: DataCentreId = HOME,
     state: BackendState = BackendState.READY,
     sequence: Long = 1,
+    software: String = "",
 ) = BackendRow(
     id = ServerId(id),
     incarnation = Incarnation(1),
@@ -29,4 +31,5 @@
     state = state,
     kind = kind,
     places = 8,
+    software = SoftwareVersion(software),
 )
--- a/gentiandale-relay/src/test/kotlin/gentiandale/relay/RelayFixture.kt
+++ b/gentiandale-relay/src/test/kotlin/gentiandale/relay/RelayFixture.kt
@@ -56,10 +56,19 @@
     }
 
     /** Starts a server of [kind] that answers by [answer], and registers it with the relay. */
-    fun server(id: String, kind: ServerKind = ServerKind.PLAIN, answer: (RawRequest, Socket) -> Boolean): FakeServer {
+    fun server(id: String, kind: ServerKind = ServerKind.PLAIN, answer: (RawRequest, Socket) -> Boolean): FakeServer =
+        server(id, kind, "", answer)
+
+    /** Starts a server with the version [software]. */
+    fun server(
+        id: String,
+        kind: ServerKind,
+        software: String,
+        answer: (RawRequest, Socket) -> Boolean,
+    ): FakeServer {
         val fake = FakeServer(answer)
         servers += fake
-        transport.loop.submit { relay.merge(rowOf(id, kind, fake.port)) }.get()
+        transport.loop.submit { relay.merge(rowOf(id, kind, fake.port, software = software)) }.get()
         return fake
     }
 
--- /dev/null
+++ b/gentiandale-relay/src/test/kotlin/gentiandale/relay/SoftwareVersionTest.kt
@@ -0,0 +1,98 @@
+package gentiandale.relay
+
+import gentiandale.core.ServerKind
+import gentiandale.core.backend.BackendState
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Nested
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertTrue
+
+/** Decode servers of two software versions in one service. */
+class SoftwareVersionTest {
+    private val relay = RelayFixture()
+
+    @AfterEach
+    fun close() = relay.close()
+
+    /** Starts a server that breaks off each stream from its beginning after two events, and goes on with others. */
+    private fun server(id: String, software: String) = relay.server(id, ServerKind.DECODE, software) { request, socket ->
+        val after = request.header("after")?.toInt()
+        if (after == null) FakeServer.breakOff(socket, request) else FakeServer.stream(socket, request, after + 1..4)
+    }
+
+    /** Makes the server [id] the last choice for a generation. */
+    private fun load(id: String) = relay.reportPeerLoad(id, memoryTokens = 5_000)
+
+    private fun takeUp(first: String?, after: Int = 2): String {
+        val resumes = first?.let { "resumes: $it\r\n" }.orEmpty()
+        return relay.get("/stream/1", "after: $after\r\n$resumes", id = "r2")
+    }
+
+    private fun events(answer: String) = Regex("data: x(\\d+)\n\n").findAll(answer).map { it.groupValues[1] }.toList()
+
+    private fun assertRefused(answer: String) = assertTrue(answer.startsWith("HTTP/1.1 503"), answer)
+
+    @Nested
+    inner class OneAnswer {
+        @Test
+        fun `a broken stream is not joined from two software versions`() {
+            val old = server("d1", "v1")
+            load("d1")
+            val answer = relay.get("/stream/1").also { assertEquals(1, old.requests.size) }
+            assertEquals(listOf("1", "2"), events(answer))
+            val new = server("d2", "v2")
+            load("d2")
+            val joined = relay.get("/stream/1", id = "r2")
+            assertFalse(joined.endsWith("0\r\n\r\n"), joined)
+            assertEquals(emptyList(), (old.requests + new.requests).mapNotNull { it.header("after") })
+        }
+
+        @Test
+        fun `a broken stream goes on at another server of its software version`() {
+            server("d1", "v1")
+            server("d2", "v1")
+            val other = server("d3", "v2")
+            load("d3")
+            assertEquals(listOf("1", "2", "3", "4"), events(relay.get("/stream/1")))
+            assertEquals(0, other.requests.size)
+        }
+    }
+
+    @Nested
+    inner class TakenUp {
+        @Test
+        fun `a stream is taken up at the software version that began it`() {
+            val old = server("d1", "v1")
+            relay.get("/stream/1", id = "r1")
+            val new = server("d2", "v2")
+            load("d1")
+            assertEquals(listOf("3", "4"), events(takeUp("r1")))
+            assertEquals(listOf(2, 0), listOf(old, new).map { it.requests.size })
+        }
+
+        @Test
+        fun `a stream is refused at once when the software version that began it has left`() {
+            server("d1", "v1")
+            relay.get("/stream/1", id = "r1")
+            relay.merge(rowOf("d1", ServerKind.DECODE, state = BackendState.GONE, sequence = 2))
+            val new = server("d2", "v2")
+            assertRefused(takeUp("r1"))
+            assertEquals(0, new.requests.size)
+        }
+
+        @Test
+        fun `a stream of unknown origin is refused while two software versions serve`() {
+            val servers = listOf(server("d1", "v1"), server("d2", "v2"))
+            listOf("r1", null).forEach { assertRefused(takeUp(it)) }
+            assertEquals(listOf(0, 0), servers.map { it.requests.size })
+        }
+
+        @Test
+        fun `a stream of unknown origin goes on while one software version has served`() {
+            server("d1", "v1")
+            listOf("r1", null).forEach { assertEquals(listOf("3", "4"), events(takeUp(it))) }
+        }
+    }
+}
