Let a stream go on only at the software version that began it

What callers saw: answers of 200 that ran to the end, the first part written by one software version of the engines and the rest by another, when a stream was taken up at another VM or resumed inside one answer.

Cause: the version of a server was read and dropped, and Resumes was not read, so that each choice of a server ignored which version had begun the stream. The class: a fact that binds later decisions is not kept with the thing that it binds.

Now a stream has an origin, the service and software version of the server that sent its first event. Servers for resuming it are chosen among those of its origin. Entry VMs have no disk and may all be lost at once, so they report origins to three control VMs, within 20 ms while several versions serve and else within 250 ms; a VM that did not begin a stream asks all control VMs. If no record is found, the origin is certain only if all answer, most have known all servers for two minutes or since the first start, and they know a single version; otherwise the stream is refused with 503, as is one whose version has left. The decision is TakeUpPolicy, without I/O; OriginTable takes 14 bytes a slot and is bounded.

--- a/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/ControlHub.kt
+++ b/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/ControlHub.kt
@@ -29,6 +29,7 @@
  * @param silenceMs time in milliseconds without a heartbeat after which a server is marked as silent.
  * @param isRecovering whether departures of servers were recorded that this VM doesn't know yet. Until
  * [onDeparturesComplete] it passes on no heartbeat that makes a server usable.
+ * @param isFirstStart whether the whole system starts for the first time, so that no server was in use before.
  */
 public class ControlHub(
     private val self: VmId,
@@ -37,6 +38,7 @@
     private val log: EventLog,
     private val silenceMs: Long,
     private var isRecovering: Boolean = false,
+    isFirstStart: Boolean = false,
 ) {
     private class Peer(var version: Long, var digest: Long, var seenMs: Long, var tableMs: Long = Long.MIN_VALUE / 2) {
         var speeds = emptyList<ReadSpeed>()
@@ -56,6 +58,7 @@
     private val suspicions = SuspicionTracker()
     private val limits = LimitTable()
     private val permits = PermitIssuer()
+    private val origins = OriginDirectory(self, startMs, isFirstStart)
     private var areLoadsChanged = false
     private var lastLoadsMs = Long.MIN_VALUE / 2
     private var gossipLoads = emptyList<AssignedLoad>()
@@ -72,6 +75,9 @@
     /** Number of entry VMs that have subscribed recently. */
     public val entryCount: Int get() = entries.size
 
+    /** Number of streams whose origin is recorded. */
+    public val originCount: Int get() = origins.size
+
     /** Number of known backend servers that have not ended. */
     public val serverCount: Int get() = table.all.count { it.state != BackendState.GONE }
 
@@ -172,13 +178,7 @@
                     ?.let { sender.send(from, FleetMessage.Configuration(it)) }
             }
             is FleetMessage.Configuration -> onDocument(message.document)
-            is FleetMessage.LocalLoad -> {
-                loads.report(from, message.loads)
-                areLoadsChanged = true
-                if (message.question > 0) {
-                    sender.send(from, FleetMessage.PeerLoad(loads.changesFor(from, all = false), message.question))
-                }
-            }
+            is FleetMessage.LocalLoad -> onLocalLoad(from, message)
             is FleetMessage.Suspect -> {
                 if (suspicions.report(message.server, from, now)) sendPause(message.server, SuspicionTracker.PAUSE_MS)
             }
@@ -186,10 +186,18 @@
             is FleetMessage.Limits -> onLimits(from, message.statements, now)
             is FleetMessage.PermitRequest -> onPermitRequest(from, message, now)
             is FleetMessage.Permits -> passOn(message)
+            is FleetMessage.OriginMessage -> origins.receive(message, table.all, now)?.let { sender.send(from, it) }
             is FleetMessage.Notice, is FleetMessage.PeerLoad, is FleetMessage.Pause -> Unit
         }
     }
 
+    private fun onLocalLoad(from: VmId, message: FleetMessage.LocalLoad) {
+        loads.report(from, message.loads)
+        areLoadsChanged = true
+        if (message.question <= 0) return
+        sender.send(from, FleetMessage.PeerLoad(loads.changesFor(from, all = false), message.question))
+    }
+
     /** Sends the periodic messages and marks silent servers. Must be called every [TICK_MS] milliseconds. */
     public fun tick() {
         val now = clock.monotonicMs()
@@ -320,6 +328,7 @@
     private fun mergeRow(row: BackendRow, source: String): List<BackendRow> {
         val known = table[row.id]
         if (known == null || row.isNewerThan(known)) lastRowMs[row.id] = clock.monotonicMs()
+        if (known != null && known.software != row.software) origins.onReplaced(known, clock.monotonicMs())
         return table.merge(row).onEach { log.write(FleetLogEvent.ServerChanged(it, source)) }
     }
 
--- a/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/FleetMessage.kt
+++ b/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/FleetMessage.kt
@@ -8,6 +8,10 @@
 import gentiandale.core.backend.CrashRecord
 import gentiandale.core.backend.LimitStatement
 import gentiandale.core.backend.ReadSpeed
+import gentiandale.core.backend.ServiceName
+import gentiandale.core.backend.SoftwareVersion
+import gentiandale.core.backend.StreamId
+import gentiandale.core.backend.StreamOrigin
 import gentiandale.state.Document
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
@@ -132,6 +136,51 @@
         val via: List<VmId> = emptyList(),
     ) : FleetMessage
 
+    /** Message about the origin of streams. */
+    @Serializable
+    public sealed interface OriginMessage : FleetMessage
+
+    /**
+     * The sending entry VM has forwarded the first events of [streams], which began at servers of [origin].
+     *
+     * @param keepMs time in milliseconds for which callers may take the streams up.
+     */
+    @Serializable
+    @SerialName("b")
+    public data class Origins(
+        val origin: StreamOrigin,
+        val streams: List<StreamId>,
+        val keepMs: Long,
+    ) : OriginMessage
+
+    /** Asks for the origin of [stream], or if that is null for the versions of the servers of [service] only. */
+    @Serializable
+    @SerialName("q")
+    public data class OriginQuestion(
+        val number: Long,
+        val stream: StreamId?,
+        val service: ServiceName,
+    ) : OriginMessage
+
+    /**
+     * Answer to the [OriginQuestion] with the same number.
+     *
+     * @param origin recorded origin of the stream, or null if there is none.
+     * @param isAmbiguous whether streams of different origins are recorded under this id.
+     * @param versions versions of the servers of the service, also of those that have ended recently; not more than
+     *   a few of them.
+     * @param isComplete whether no other version can have served for as long as a stream may last.
+     */
+    @Serializable
+    @SerialName("a")
+    public data class OriginAnswer(
+        val number: Long,
+        val origin: StreamOrigin?,
+        val isAmbiguous: Boolean,
+        val versions: List<SoftwareVersion>,
+        val isComplete: Boolean,
+    ) : OriginMessage
+
     /** The engine [server] does not answer the sending entry VM. */
     @Serializable
     @SerialName("u")
--- a/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/FleetSubscriber.kt
+++ b/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/FleetSubscriber.kt
@@ -7,7 +7,11 @@
 import gentiandale.core.backend.BackendRow
 import gentiandale.core.backend.CrashRecord
 import gentiandale.core.backend.LimitStatement
+import gentiandale.core.backend.OriginLookup
 import gentiandale.core.backend.ReadSpeed
+import gentiandale.core.backend.ServiceName
+import gentiandale.core.backend.StreamId
+import gentiandale.core.backend.StreamOrigin
 import gentiandale.core.log.EventLog
 import gentiandale.state.Document
 
@@ -64,7 +68,7 @@
  * majority is enough. Not thread-safe: all calls must come from one thread.
  */
 public class FleetSubscriber(
-    self: VmId,
+    private val self: VmId,
     private val clock: Clock,
     private val sender: FleetSender,
     private val state: SubscriberState,
@@ -83,6 +87,7 @@
     private var lastQuestion = clock.wallMs()
     private var tickCount = 0
     private val entryCount = EntryCount()
+    private val lookups = OriginLookups(clock, sender)
     private val pendingConfirmations = ArrayList<PendingConfirmation>()
 
     private class PendingConfirmation(val number: Long, val done: () -> Unit)
@@ -102,6 +107,7 @@
     /** Sends the periodic messages. Must be called every [ControlHub.TICK_MS] milliseconds. */
     public fun tick() {
         controlVms.tick(clock.monotonicMs())
+        lookups.tick()
         val speeds = if (tickCount++ % SPEED_TICKS == 0) state.readSpeeds else null
         val message = FleetMessage.Subscribe(state.version, state.digest, speeds, state.crashDigest)
         controlVms.all.forEach { sender.send(it, message) }
@@ -162,6 +168,23 @@
         controlVms.all.forEach { sender.send(it, message) }
     }
 
+    /**
+     * Reports that [streams] began at servers of [origin] and may be taken up for [keepMs] milliseconds. A few control
+     * VMs record it, so that the loss of all entry VMs and of some control VMs does not lose it.
+     */
+    public fun reportOrigins(origin: StreamOrigin, streams: List<StreamId>, keepMs: Long) {
+        val message = FleetMessage.Origins(origin, streams, keepMs)
+        controlVms.reachable(clock.monotonicMs()).sortedBy { rank(it) }.take(ORIGIN_COPIES)
+            .forEach { sender.send(it, message) }
+    }
+
+    /** Returns a number by which each entry VM prefers other control VMs, so that they share the records. */
+    private fun rank(control: VmId) = (control.value + self.value).hashCode()
+
+    /** Asks all control VMs for the origin of [stream] of [service], and calls [done] with the result. */
+    public fun findOrigin(stream: StreamId?, service: ServiceName, done: (OriginLookup) -> Unit): Unit =
+        lookups.find(stream, service, controlVms.all, done)
+
     /** Asks for [wanted] permits for the server of [limit]. All entry VMs use the same control VM if they reach it. */
     public fun requestPermits(limit: LimitStatement, wanted: Int) {
         val issuer = controlVms.reachable(clock.monotonicMs()).minOrNull() ?: return
@@ -180,8 +203,10 @@
             is FleetMessage.Limits -> state.mergeLimits(message.statements)
             is FleetMessage.Permits -> state.grantPermits(message)
             is FleetMessage.Pause -> state.pause(message.server, message.forMs)
+            is FleetMessage.OriginAnswer -> lookups.onAnswer(from, message)
             is FleetMessage.Subscribe, is FleetMessage.Gossip, is FleetMessage.Fetch, is FleetMessage.LocalLoad -> Unit
             is FleetMessage.Suspect, is FleetMessage.PermitRequest -> Unit
+            is FleetMessage.Origins, is FleetMessage.OriginQuestion -> Unit
         }
     }
 
@@ -227,6 +252,9 @@
         /** Minimum time between two reports of all crashes; tables differ after a lost message or a restart. */
         const val CRASHES_INTERVAL_MS = 2_000L
 
+        /** Two of them may be lost. */
+        const val ORIGIN_COPIES = 3
+
         /** Speeds change slowly, so that only one message in this many carries them. */
         const val SPEED_TICKS = 4
 
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/Relay.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/Relay.kt
@@ -9,8 +9,11 @@
 import gentiandale.core.backend.BackendRow
 import gentiandale.core.backend.CrashRecord
 import gentiandale.core.backend.LimitStatement
+import gentiandale.core.backend.OriginLookup
 import gentiandale.core.backend.ReadSpeed
 import gentiandale.core.backend.ServiceName
+import gentiandale.core.backend.StreamId
+import gentiandale.core.backend.StreamOrigin
 import gentiandale.core.log.EventLog
 import gentiandale.relay.backend.Backend
 import gentiandale.relay.backend.BackendRegistry
@@ -212,6 +215,12 @@
 
         override fun onPermitsMissing(limit: LimitStatement, wanted: Int) = listener.onPermitsMissing(limit, wanted)
 
+        override fun onStreamsBegun(origin: StreamOrigin, streams: List<StreamId>, keepMs: Long) =
+            listener.onStreamsBegun(origin, streams, keepMs)
+
+        override fun findOrigin(stream: StreamId?, service: ServiceName, done: (OriginLookup) -> Unit) =
+            listener.findOrigin(stream, service, done)
+
         override fun confirmLoad(done: () -> Unit) {
             var isDone = false
             val doneOnce = {
@@ -261,9 +270,8 @@
             headers = headers,
             id = dialect.requestId(request.headers),
             route = route,
-            version = present.version,
+            table = present,
             service = service,
-            rule = present.service(service),
             deadlineMs = deadlineMs,
         )
         val handler =
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/RelayEvent.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/RelayEvent.kt
@@ -11,6 +11,7 @@
 import gentiandale.core.log.LogEvent
 import gentiandale.core.log.LogLine
 import gentiandale.relay.backend.GenerationMemory
+import gentiandale.relay.placement.TakeUp
 import gentiandale.relay.upstream.GenerationSize
 import gentiandale.relay.upstream.StrayAnswer
 
@@ -91,14 +92,36 @@
      *
      * @param first id of the request that brought its first event, or null if the caller doesn't state it.
      * @param lastEvent id of the last event that the caller has received, or null.
+     * @param decision whether the stream may go on, and where.
+     * @param waitedMs time in milliseconds until its origin was known.
      */
     public class TakenUp(
         private val request: String?,
         private val first: String?,
         private val lastEvent: String?,
+        private val decision: TakeUp,
+        private val waitedMs: Long,
     ) : RelayEvent("taken-up") {
         override fun describe(line: LogLine) {
             line.field("request", request).field("first_request", first).field("last_event", lastEvent)
+                .field("waited_ms", waitedMs).field("decision", decision.label)
+            when (decision) {
+                is TakeUp.GoOn ->
+                    line.field("service", decision.origin.service.value)
+                        .field("software", decision.origin.software.value).field("source", decision.source)
+                is TakeUp.Refuse -> line.field("reason", decision.reason)
+            }
+        }
+    }
+
+    /** The server of [request], which runs [software], has sent the first event of a stream. */
+    public class StreamBegun(
+        private val request: String?,
+        private val server: ServerId,
+        private val software: SoftwareVersion,
+    ) : RelayEvent("stream-begun") {
+        override fun describe(line: LogLine) {
+            line.field("request", request).field("server", server.value).field("software", software.value)
         }
     }
 
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/RelayListener.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/RelayListener.kt
@@ -4,6 +4,10 @@
 import gentiandale.core.backend.BackendRow
 import gentiandale.core.backend.CrashRecord
 import gentiandale.core.backend.LimitStatement
+import gentiandale.core.backend.OriginLookup
+import gentiandale.core.backend.ServiceName
+import gentiandale.core.backend.StreamId
+import gentiandale.core.backend.StreamOrigin
 
 /** Receives events of a relay that concern the other VMs. Called on the event loop. */
 public interface RelayListener {
@@ -25,6 +29,15 @@
     /** Called when requests of this VM need [wanted] permits for the server of [limit]. */
     public fun onPermitsMissing(limit: LimitStatement, wanted: Int)
 
+    /** Called when [streams] have got their first event from servers of [origin]; [keepMs] is how long that matters. */
+    public fun onStreamsBegun(origin: StreamOrigin, streams: List<StreamId>, keepMs: Long)
+
+    /**
+     * Finds the origin of [stream] of [service], which this VM has not begun, or only the versions of its servers if
+     * [stream] is null. Calls [done] at most once.
+     */
+    public fun findOrigin(stream: StreamId?, service: ServiceName, done: (OriginLookup) -> Unit)
+
     /** Reports the load at once, and calls [done] when the load placed earlier by other VMs is known, or soon after. */
     public fun confirmLoad(done: () -> Unit)
 
@@ -44,6 +57,11 @@
 
             override fun onPermitsMissing(limit: LimitStatement, wanted: Int) = Unit
 
+            override fun onStreamsBegun(origin: StreamOrigin, streams: List<StreamId>, keepMs: Long) = Unit
+
+            override fun findOrigin(stream: StreamId?, service: ServiceName, done: (OriginLookup) -> Unit) =
+                done(OriginLookup.Unanswered)
+
             override fun confirmLoad(done: () -> Unit) = done()
         }
     }
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/RelayMetrics.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/RelayMetrics.kt
@@ -49,6 +49,11 @@
         .help("Times that a server sent no event of a stream for a second or so, by what was done.")
         .labelNames("decision")
         .register(registry)
+    private val takenUp = Counter.builder()
+        .name("gentiandale_streams_taken_up_total")
+        .help("Broken streams that callers took up, by whether they went on.")
+        .labelNames("decision")
+        .register(registry)
     private val duration = histogram(registry, "gentiandale_request_duration_seconds", "Time to the end of a request.")
     private val first = histogram(registry, "gentiandale_first_byte_seconds", "Time to the first byte of the answer.")
 
@@ -86,6 +91,10 @@
         quarantined.inc()
     }
 
+    override fun onTakenUp(decision: String) {
+        takenUp.labelValues(decision).inc()
+    }
+
     override fun onStreamSilent(decision: String) {
         silences.labelValues(decision).inc()
     }
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/RelayStats.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/RelayStats.kt
@@ -29,6 +29,9 @@
     /** Records a server that sent no event of a stream for some time, and the [decision] about the stream. */
     public fun onStreamSilent(decision: String)
 
+    /** Records a stream that its caller takes up, and the [decision] about it. */
+    public fun onTakenUp(decision: String)
+
     /** Provides an implementation without effect. */
     public companion object {
         /** Discards all measurements. */
@@ -50,6 +53,8 @@
             override fun onQuarantined() = Unit
 
             override fun onStreamSilent(decision: String) = Unit
+
+            override fun onTakenUp(decision: String) = Unit
         }
     }
 }
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/backend/BackendRegistry.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/backend/BackendRegistry.kt
@@ -5,6 +5,7 @@
 import gentiandale.core.backend.BackendState
 import gentiandale.core.backend.BackendTable
 import gentiandale.core.backend.ServiceName
+import gentiandale.core.backend.SoftwareVersion
 
 /** Registry of the backend servers known to one entry VM. Confined to one thread. */
 public class BackendRegistry {
@@ -35,6 +36,10 @@
     /** All servers except those that are gone. */
     public val all: Collection<Backend> get() = backends.values
 
+    /** Returns the software versions of the servers of [services] that are not gone. */
+    public fun versions(services: Set<ServiceName>): Set<SoftwareVersion> =
+        backends.values.filter { it.row.service in services }.mapTo(HashSet()) { it.row.software }
+
     /** Returns the servers of [service] that accept new work at [nowMs]. */
     public fun ready(service: ServiceName, nowMs: Long): List<Backend> =
         backends.values.filter { it.row.service == service && it.isReady && !it.isResting(nowMs) }
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/GenerationRequestHandler.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/GenerationRequestHandler.kt
@@ -7,9 +7,8 @@
 import gentiandale.relay.backend.GenerationMemory
 import gentiandale.relay.placement.GenerationPlan
 import gentiandale.relay.placement.QueuedGeneration
-import gentiandale.relay.placement.Silence
-import gentiandale.relay.placement.SilencePolicy
 import gentiandale.relay.placement.SilenceStep
+import gentiandale.relay.placement.TakeUp
 import gentiandale.relay.routing.Repetition
 import gentiandale.relay.upstream.GenerationSize
 import gentiandale.relay.upstream.SendFailure
@@ -26,7 +25,7 @@
     PrefillCall.Listener,
     GenerationCall.Listener {
     private val size = context.dialect.size(routed.headers) ?: DEFAULT_SIZE
-    private val engine = routed.rule?.engine
+    private val engine get() = routed.rule?.engine
     private val need = GenerationMemory(size.prompt, context.answerLengths.estimate(route.name, size), size.answer)
     private val promptReservation = PromptReservation(size.prompt)
     private var reservation = newReservation()
@@ -37,6 +36,8 @@
     private var currentSend: Send? = null
     private var silent: SilentStream? = null
     private var placements = 0
+    private val continuity = StreamContinuity(routed, context, progress.lastEvent)
+    private val silences = StreamSilences(routed, context)
     private var rejections = 0
     private var conflicts = 0
     private var stateBeforeRun = runState
@@ -68,15 +69,21 @@
         cache = null
     }
 
-    init {
-        val first = context.dialect.firstRequestId(routed.headers)
-        val lastEvent = context.dialect.lastEventId(routed.headers)
-        if (first != null || lastEvent != null) {
-            context.log.write(RelayEvent.TakenUp(routed.id, first, lastEvent))
+    override fun dispatch() {
+        if (!continuity.isOriginDue) return context.queue.enqueue(this)
+        continuity.findOrigin { decision -> guard.execute { if (!isOver) onOrigin(decision) } }
+    }
+
+    /** Continues a stream that the caller takes up, or refuses it. */
+    private fun onOrigin(decision: TakeUp) = when (decision) {
+        is TakeUp.GoOn -> {
+            routed = routed.copy(service = decision.origin.service)
+            dispatch()
         }
+        is TakeUp.Refuse -> refuse(decision.reason, decision.retryAfterMs)
     }
 
-    override fun dispatch() = context.queue.enqueue(this)
+    private fun candidates(): List<Backend> = context.candidates(routed.service).filter(continuity::allows)
 
     override fun reject(reason: String) = refuseOrFail(reason)
 
@@ -88,13 +95,18 @@
         val now = context.nowMs()
         val excluded = if (prefillCount < MAX_PREFILL_CALLS) tried else tried + prefillServers()
         val engineRule = if (context.queue.isLate(queued)) engine?.forLateWork() else engine
-        val candidates = context.candidates(routed.service)
+        val candidates = candidates()
         val gapMs = route.maxGapMs.takeIf { it > 0 } ?: DEFAULT_GAP_MS
         when (val plan = context.generationPlacement.plan(candidates, excluded, need, engineRule, now, gapMs)) {
             is GenerationPlan.NoCapacity -> return false
             is GenerationPlan.NoServer -> {
-                if (context.lacksPermits(routed.service) { it.row.id !in excluded }) return false
-                refuseOrFail("no decode server available")
+                if (context.lacksPermits(routed.service) {
+                        it.row.id !in excluded && continuity.allows(it)
+                    }
+                ) {
+                    return false
+                }
+                refuseOrFail(continuity.noServer)
             }
             is GenerationPlan.Placement -> {
                 permits.take(plan.decode)
@@ -158,7 +170,7 @@
     private fun startPrefill(server: Backend) {
         if (prefillCount > 0 && !context.budgetOf(routed.service).tryTake(context.nowMs())) {
             prefillCount = MAX_PREFILL_CALLS
-            return reservation.server?.let(::startGeneration) ?: refuseOrFail("no decode server available")
+            return reservation.server?.let(::startGeneration) ?: refuseOrFail(continuity.noServer)
         }
         prefillCount++
         val prefill = PrefillCall(
@@ -218,23 +230,14 @@
 
     private fun onEventGap(send: Send, delayMs: Long, waitedMs: Long) {
         if (isOver || currentSend !== send) return
-        val now = context.nowMs()
-        val step = SilencePolicy.next(
-            Silence(waitedMs, send.server.lastByteMs?.let { now - it }, send.isPaused),
-            limitMs = delayMs,
-            hasAttempt = attempts < route.maxAttempts,
-            hasBudget = context.budgetOf(routed.service).remaining(now) > 0,
-        )
+        val hasAttempt = attempts < route.maxAttempts
+        val step = silences.next(send.server, send.handler.eventCount, waitedMs, delayMs, send.isPaused, hasAttempt)
         when (step) {
-            is SilenceStep.Wait -> {
-                noteSilence(send, waitedMs, "wait", step.reason)
-                if (!step.isFinal) watchEvents(send, delayMs, waitedMs)
-            }
+            is SilenceStep.Wait -> if (!step.isFinal) watchEvents(send, delayMs, waitedMs)
             is SilenceStep.Move -> {
-                noteSilence(send, waitedMs, "move", null)
                 send.onSilence()
                 tried += send.server.row.id
-                silent = SilentStream(send, reservation, now - waitedMs)
+                silent = SilentStream(send, reservation, context.nowMs() - waitedMs)
                 reservation = newReservation()
                 restart()
             }
@@ -259,8 +262,9 @@
         currentSend = previous.send
         reservation = previous.reservation
         tried -= previous.send.server.row.id
-        noteSilence(previous.send, context.nowMs() - previous.sinceMs, "return", reason)
-        watchEvents(previous.send, EVENT_GAP_TIMEOUT_MS, context.nowMs() - previous.sinceMs)
+        val silentMs = context.nowMs() - previous.sinceMs
+        silences.onReturn(previous.send.server, previous.send.handler.eventCount, silentMs, reason)
+        watchEvents(previous.send, EVENT_GAP_TIMEOUT_MS, silentMs)
         return true
     }
 
@@ -274,12 +278,6 @@
 
     private fun isAtSilentServer(generation: GenerationCall) = silent?.send?.handler === generation
 
-    private fun noteSilence(send: Send, waitedMs: Long, decision: String, reason: String?) {
-        val events = send.handler.eventCount
-        context.log.write(RelayEvent.StreamSilent(routed.id, send.server.row.id, events, waitedMs, decision, reason))
-        context.stats.onStreamSilent(decision)
-    }
-
     override fun onCache(server: Backend, handle: String) {
         cache = KvCache(server, handle, routed.id)
         // VMs that reserve at the same moment don't see each other's load at once; after the prefill they do.
@@ -304,7 +302,7 @@
 
     /** Starts at [preferred] or another server with capacity at once, since the KV cache expires within a moment. */
     private fun startWithCache(preferred: Backend?) {
-        val server = preferred ?: chooseDecode(tried) ?: return refuseOrFail("no decode server available")
+        val server = preferred ?: chooseDecode(tried) ?: return refuseOrFail(continuity.noServer)
         if (server !== reservation.server) {
             reservation.reserve(server)
             permits.take(server)
@@ -314,7 +312,7 @@
 
     private fun chooseDecode(excluded: Set<ServerId>): Backend? =
         context.generationPlacement
-            .chooseDecode(context.candidates(routed.service), excluded, need, engine, context.nowMs())
+            .chooseDecode(candidates(), excluded, need, engine, context.nowMs())
 
     override val hasEnded: Boolean get() = isOver
 
@@ -338,6 +336,7 @@
 
     override fun onEvent(generation: GenerationCall) {
         if (isAtSilentServer(generation)) returnToServer("the server goes on")
+        continuity.onEvent(generation.server, routed.service)
         reservation.onEvent()
         currentSend?.let { watchEvents(it, EVENT_GAP_TIMEOUT_MS, 0) }
     }
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/RelayContext.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/RelayContext.kt
@@ -55,6 +55,9 @@
     /** Plain calls of this VM that wait because all servers were full. */
     var waitingCalls = 0
     val queue = GenerationQueue(loop, nowMs)
+
+    /** Origins of streams that callers may take up. */
+    val origins = StreamOrigins(loop, nowMs, listener)
     val plainPlacement get() = policies.plainPlacement
     val generationPlacement get() = policies.generationPlacement
     val answerLengths get() = policies.answerLengths
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/RequestHandler.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/RequestHandler.kt
@@ -32,7 +32,7 @@
  * @param parts parts of the prompt that other requests may hold too.
  */
 internal abstract class RequestHandler(
-    protected val routed: RoutedRequest,
+    protected var routed: RoutedRequest,
     protected val context: RelayContext,
     parts: List<RequestTrait> = emptyList(),
 ) {
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/RoutedRequest.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/RoutedRequest.kt
@@ -4,6 +4,7 @@
 import gentiandale.relay.caller.HttpServerReply
 import gentiandale.relay.caller.HttpServerRequest
 import gentiandale.relay.routing.RouteRule
+import gentiandale.relay.routing.RoutingTable
 import gentiandale.relay.routing.ServiceRule
 import io.netty.handler.codec.http.HttpHeaders
 
@@ -11,8 +12,7 @@
  * A request of a caller with the route and service chosen for it.
  *
  * @param headers end-to-end headers to forward, without those that only this system may set.
- * @param version version of the routing table that matched.
- * @param rule rule of the service, or null if the routing table has none.
+ * @param table routing table that matched.
  * @param deadlineMs monotonic time in milliseconds by which the final answer is due.
  */
 internal data class RoutedRequest(
@@ -21,8 +21,13 @@
     val headers: HttpHeaders,
     val id: String?,
     val route: RouteRule,
-    val version: Long,
+    val table: RoutingTable,
     val service: ServiceName,
-    val rule: ServiceRule?,
     val deadlineMs: Long,
-)
+) {
+    /** Version of the routing table. */
+    val version: Long get() = table.version
+
+    /** Rule of the service, or null if the routing table has none. */
+    val rule: ServiceRule? get() = table.service(service)
+}
--- a/gentiandale-relay/src/test/kotlin/gentiandale/relay/RelayFixture.kt
+++ b/gentiandale-relay/src/test/kotlin/gentiandale/relay/RelayFixture.kt
@@ -9,6 +9,10 @@
 import gentiandale.core.backend.BackendRow
 import gentiandale.core.backend.CrashRecord
 import gentiandale.core.backend.LimitStatement
+import gentiandale.core.backend.OriginLookup
+import gentiandale.core.backend.ServiceName
+import gentiandale.core.backend.StreamId
+import gentiandale.core.backend.StreamOrigin
 import gentiandale.core.log.EventLog
 import gentiandale.relay.caller.GracefulShutdown
 import gentiandale.relay.caller.HttpServer
@@ -163,6 +167,11 @@
             transport.loop.execute { relay.grantPermits(limit.server, limit.incarnation, count, PERMIT_VALIDITY_MS) }
         }
 
+        override fun onStreamsBegun(origin: StreamOrigin, streams: List<StreamId>, keepMs: Long) = Unit
+
+        override fun findOrigin(stream: StreamId?, service: ServiceName, done: (OriginLookup) -> Unit) =
+            done(OriginLookup.NotRecorded(emptySet(), isComplete = true))
+
         override fun confirmLoad(done: () -> Unit) {
             onConfirm()
             onConfirm = {}
--- a/gentiandale-relay/src/test/kotlin/gentiandale/relay/SoftwareVersionTest.kt
+++ b/gentiandale-relay/src/test/kotlin/gentiandale/relay/SoftwareVersionTest.kt
@@ -17,7 +17,10 @@
     fun close() = relay.close()
 
     /** Starts a server that breaks off each stream from its beginning after two events, and goes on with others. */
-    private fun server(id: String, software: String) = relay.server(id, ServerKind.DECODE, software) { request, socket ->
+    private fun server(
+        id: String,
+        software: String,
+    ) = relay.server(id, ServerKind.DECODE, software) { request, socket ->
         val after = request.header("after")?.toInt()
         if (after == null) FakeServer.breakOff(socket, request) else FakeServer.stream(socket, request, after + 1..4)
     }
