Leave a silent server only for one that has sent an event

What callers saw: an error, or a cut stream, although the silent server of the request went on a moment later: the other server had answered with an error, or had ended right after its head. An error of the silent server itself was dropped, and the caller got 502 later.

--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/GenerationCall.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/GenerationCall.kt
@@ -29,9 +29,6 @@
         /** Counts an attempt and returns the HTTP request to write. */
         fun startAttempt(generation: GenerationCall): FullHttpRequest
 
-        /** Called when the server of [generation] has begun the stream. */
-        fun onAccepted(generation: GenerationCall)
-
         /** Called after each event of [generation] that has been forwarded. */
         fun onEvent(generation: GenerationCall)
 
@@ -75,7 +72,6 @@
 
     override fun onHead(head: HttpResponse) {
         this.head = head
-        if (isStream(head)) listener.onAccepted(this)
     }
 
     override val bodyTimeoutMs: Long?
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/GenerationRequestHandler.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/GenerationRequestHandler.kt
@@ -330,12 +330,8 @@
         }
     }
 
-    override fun onAccepted(generation: GenerationCall) {
-        if (!isAtSilentServer(generation)) leaveSilentServer()
-    }
-
     override fun onEvent(generation: GenerationCall) {
-        if (isAtSilentServer(generation)) returnToServer("the server goes on")
+        if (isAtSilentServer(generation)) returnToServer("the server goes on") else leaveSilentServer()
         continuity.onEvent(generation.server, routed.service)
         reservation.onEvent()
         currentSend?.let { watchEvents(it, EVENT_GAP_TIMEOUT_MS, 0) }
@@ -350,7 +346,10 @@
 
     override fun onRejected(generation: GenerationCall, status: Int) {
         attempts--
-        if (endSilentStream(generation)) {
+        if (isAtSilentServer(generation)) {
+            silent?.send?.logFailure("request not executed: status $status")
+            generation.server.onFull(context.nowMs())
+            endSilentStream(generation)
             if (attempts == 0) runState = RunState.NOT_RUN
             return
         }
@@ -370,11 +369,14 @@
     override fun onBadAnswer(generation: GenerationCall, head: HttpResponse, body: ByteBuf) {
         val status = head.status()
         val isSuccess = status.codeClass() == HttpStatusClass.SUCCESS
-        if (endSilentStream(generation)) return
-        currentSend?.recordFailure("unusable answer: status ${status.code()}")
+        val isFinal = status.codeClass() == HttpStatusClass.CLIENT_ERROR && !stream.hasBegun && canForward(head)
+        val send = silent?.send?.takeIf { isAtSilentServer(generation) } ?: currentSend
+        send?.recordFailure("unusable answer: status ${status.code()}")
         tried += generation.server.row.id
         when {
+            endSilentStream(generation) && !isFinal -> Unit
             status.codeClass() != HttpStatusClass.CLIENT_ERROR && canRetry() -> restart()
+            returnToServer("unusable answer of ${generation.server.row.id}: status ${status.code()}") -> Unit
             stream.hasBegun || isSuccess || !canForward(head) ->
                 fail("unusable answer of ${generation.server.row.id}: status ${status.code()}")
             else -> {
--- a/gentiandale-relay/src/test/kotlin/gentiandale/relay/RelayFixture.kt
+++ b/gentiandale-relay/src/test/kotlin/gentiandale/relay/RelayFixture.kt
@@ -37,9 +37,12 @@
     log: EventLog = EventLog.NONE,
     maxConnections: Int = 100,
 ) : AutoCloseable {
+    /** Limits of the present configuration. */
+    @Volatile
+    var presentLimits = limits
     private val transport = Transport()
     private val relay = Relay(RelaySettings(HOME, 1.0, 100, 10_000), transport, TestDialect, SystemClock, log)
-    private val server = HttpServer(transport, SystemClock::monotonicMs, { limits }, relay, log)
+    private val server = HttpServer(transport, SystemClock::monotonicMs, { presentLimits }, relay, log)
     private val servers = ArrayList<FakeServer>()
     val port: Int
 
@@ -80,6 +83,15 @@
     fun prefillServer(id: String, answer: (RawRequest, Socket) -> Boolean): FakeServer =
         server(id, ServerKind.PREFILL, answer).also { reportPeerPrompts(id, promptTokens = BACKLOG_TOKENS) }
 
+    /** Installs a configuration without routes and services. */
+    fun removeConfiguration() {
+        transport.loop.submit { relay.install(RoutingTable(2, emptyList(), emptyList(), HttpServerLimits())) }.get()
+    }
+
+    /** Load that the relay has placed on engines and the generations that it has queued. */
+    fun pendingWork(): Pair<List<AssignedLoad>, Int> =
+        transport.loop.submit<Pair<List<AssignedLoad>, Int>> { relay.localLoad() to relay.queueSize }.get()
+
     /** Merges [row], as from a control VM. */
     fun merge(row: BackendRow) {
         transport.loop.submit { relay.merge(row) }.get()
@@ -107,6 +119,10 @@
     /** Rows of servers that the relay reported as departing. */
     val departed = CopyOnWriteArrayList<BackendRow>()
 
+    /** Time in milliseconds for which the event loop is busy when a server departs. */
+    @Volatile
+    var departureMs = 0L
+
     /** Crash records that the relay has reported for the other VMs. */
     val crashEvidence = CopyOnWriteArrayList<CrashRecord>()
 
@@ -146,6 +162,7 @@
 
         override fun onDeparting(row: BackendRow) {
             departed += row
+            Thread.sleep(departureMs)
         }
 
         override fun onCrashEvidence(records: List<CrashRecord>) {
