Give servers five seconds to read a long body

What callers saw: 502, or a cut stream, for a request with a body of 150 kB or more whose server did not read for a second and then went on.

Cause: the TCP user timeout of one second also runs while the receive window of the server is closed, so that the kernel reset a sound connection. The class is that of the silent streams: a silence ended an answer. Timers of the requests themselves already end what a dead server holds, except a call that must not be repeated, which now waits for its deadline.

SlowReaderTest: its three tests failed before with a body of 900 kB.

--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/upstream/Transport.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/upstream/Transport.kt
@@ -54,8 +54,8 @@
     }
 
     private companion object {
-        /** Allows for two retransmissions of a lost packet between data centres. */
-        const val SERVER_USER_TIMEOUT_MS = 1_000
+        /** A sound server may stop reading a long body for a second or more. */
+        const val SERVER_USER_TIMEOUT_MS = 5_000
 
         /** Longer than for servers, since callers are further away and lose more packets. */
         const val CALLER_USER_TIMEOUT_MS = 5_000
