Keep a silent server of a call until another one has answered

What callers saw: 502 for a call that may be repeated, although the server that had it answered 450 ms later: after 150 ms without an answer its connection was closed, and the other server rejected the call or broke the connection.

Now the first server is left when the other one has sent the head of a success, at the latest 250 ms after the call was sent to it, and keeps the call if the other one fails.

--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/PlainRequestHandler.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/PlainRequestHandler.kt
@@ -24,6 +24,9 @@
     private var waitTimer: ScheduledFuture<*>? = null
     private var permitTimer: ScheduledFuture<*>? = null
     private var currentSend: Send? = null
+
+    /** Send to a server without an answer so far, which stays open until another one answers. */
+    private var silent: Send? = null
     private val sentTo = HashSet<ServerId>()
     private val fullServers = HashSet<ServerId>()
 
@@ -133,12 +136,29 @@
     private fun onNoAnswer(send: Send) {
         if (allowedServers().none { it !== send.server && it.row.id !in tried }) return
         if (!mayRetry() || context.budgetOf(routed.service).remaining(context.nowMs()) <= 0) return
-        send.recordFailure("no answer within $ANSWER_TIMEOUT_MS ms")
-        send.cancel()
+        send.onSilence()
         tried += send.server.row.id
+        silent = send
         dispatch()
     }
 
+    private fun leaveSilentServer() {
+        val left = silent ?: return
+        silent = null
+        left.logFailure("no answer within $ANSWER_TIMEOUT_MS ms")
+        left.cancel()
+    }
+
+    override fun returnToServer(reason: String): Boolean {
+        val previous = silent ?: return false
+        silent = null
+        currentSend?.takeIf { it !== previous }?.cancel()
+        currentSend = previous
+        releaseResources()
+        permits.release()
+        return true
+    }
+
     private fun noServerRetryMs() = context.restLeftMs(routed.service) ?: NO_SERVER_RETRY_MS
 
     private fun refuseOrFail(reason: String) {
@@ -157,11 +177,16 @@
             sentTo += server.row.id
             countSend()
             runState = RunState.MAY_HAVE_RUN
+            if (silent != null) schedule(MAX_OVERLAP_MS) { if (currentSend?.handler === this) leaveSilentServer() }
             return buildRequest(server) { }
         }
 
+        private val isAtSilentServer get() = silent?.handler === this
+
         override fun onHead(head: HttpResponse) {
             this.head = head
+            if (!isSuccess()) return
+            if (isAtSilentServer) returnToServer("the server answers") else leaveSilentServer()
         }
 
         override fun onContent(content: ByteBuf): BodyVerdict {
@@ -188,10 +213,15 @@
             }
             if (context.dialect.isNotExecuted(status, answer.headers())) return onRejected(status)
             crashSuspect.onAnswered(server)
-            if (!isFinal()) return onBadAnswer(status)
-            progress.onPart(context.nowMs(), body.content.readableBytes())
-            routed.reply.answer(status, answer.headers().endToEnd(), body.take())
-            finish("answered", status)
+            when {
+                !isSuccess() && goesOnElsewhere("unusable answer: status $status") -> Unit
+                !isFinal() -> onBadAnswer(status)
+                else -> {
+                    progress.onPart(context.nowMs(), body.content.readableBytes())
+                    routed.reply.answer(status, answer.headers().endToEnd(), body.take())
+                    finish("answered", status)
+                }
+            }
         }
 
         override fun onFailure(failure: SendFailure) {
@@ -199,6 +229,10 @@
             if (hasBegunAnswer) return fail(failure.reason)
             if (failure is SendFailure.Broken) crashSuspect.onBroken(server)
             tried += server.row.id
+            if (isAtSilentServer) {
+                silent = null
+                return
+            }
             if (failure is SendFailure.NotSent) {
                 unsentCount++
                 if (unsentCount > MAX_UNSENT_FAILURES) refuseOrFail(failure.reason) else dispatch()
@@ -211,11 +245,25 @@
             if (!hasBegunAnswer) body.release()
         }
 
+        /** Returns whether another server still works on the request, so that an error of this one ends nothing. */
+        private fun goesOnElsewhere(reason: String): Boolean {
+            if (silent == null) return false
+            body.release()
+            if (!isAtSilentServer) return returnToServer(reason)
+            silent?.logFailure(reason)
+            silent = null
+            return true
+        }
+
         /** Handles the statement of the server that it has not executed the request. */
         private fun onRejected(status: Int) {
             body.release()
-            runState = stateBeforeSend
             attempts--
+            if (isAtSilentServer) {
+                goesOnElsewhere("request not executed: status $status")
+                return
+            }
+            runState = stateBeforeSend
             tried += server.row.id
             fullServers += server.row.id
             server.onFull(context.nowMs())
@@ -273,6 +321,9 @@
         /** Several times the duration of a plain call; its latency target is missed by then. */
         const val ANSWER_TIMEOUT_MS = 150L
 
+        /** Time in milliseconds for which two servers may work on a call. */
+        const val MAX_OVERLAP_MS = 250L
+
         /** Larger successes are forwarded while they arrive; larger errors are given up. */
         const val MAX_BUFFERED_BYTES = 262_144
 
