Let a kept connection be idle for as long as the present configuration says

What callers saw: a connection that closed under a request, beside a change of the configuration that raises the idle time: callers reuse a connection for four fifths of the present idle time, and older connections were closed at the one in force when they were opened, so that closes and requests crossed.

Cause: the limits were read once for each connection. They are read now when the timer starts and again when it fires.

ConfigurationChangeTest, "a kept connection is not closed after the idle time of an earlier configuration", failed before; its other tests passed.

--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/caller/HttpServer.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/caller/HttpServer.kt
@@ -11,7 +11,7 @@
 /**
  * HTTP server for callers, backend servers, operators, metrics scrapes and readiness checks.
  *
- * @param limits returns the limits for a new connection.
+ * @param limits returns the limits in force.
  */
 public class HttpServer(
     private val transport: Transport,
@@ -50,7 +50,7 @@
                 channel.pipeline().addLast(
                     HttpServerRequestDecoder(present),
                     encoder,
-                    HttpServerConnection(channel, encoder, present, service, this@HttpServer, log),
+                    HttpServerConnection(channel, encoder, limits, service, this@HttpServer, log),
                 )
             }
         })
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/caller/HttpServerConnection.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/caller/HttpServerConnection.kt
@@ -40,11 +40,12 @@
 internal class HttpServerConnection(
     private val channel: Channel,
     private val encoder: HttpServerResponseEncoder,
-    private val limits: HttpServerLimits,
+    private val presentLimits: () -> HttpServerLimits,
     private val service: HttpServerHandler,
     private val server: HttpServer,
     private val log: EventLog,
 ) : ChannelInboundHandlerAdapter() {
+    private val limits get() = presentLimits()
     private val pending = PendingParts(channel)
     private var isReadingPending = false
     private var head: HttpRequest? = null
@@ -52,6 +53,7 @@
     private var body: CompositeByteBuf? = null
     private var current: Reply? = null
     private var timer: ScheduledFuture<*>? = null
+    private var idleSinceMs = 0L
     private var isClosing = false
     private val number = server.nextNumber()
     private var requests = 0
@@ -177,7 +179,8 @@
         current = null
         server.onActivity()
         if (!keep || isClosing) return pending.release()
-        startTimer(limits.idleTimeoutMs, ::onIdleTimeout)
+        idleSinceMs = server.nowMs()
+        startIdleTimer(limits.idleTimeoutMs)
         readPending()
     }
 
@@ -225,10 +228,20 @@
         if (head != null) abort("request incomplete after ${limits.idleTimeoutMs} ms")
     }
 
+    private fun startIdleTimer(delayMs: Long) = startTimer(delayMs, ::onIdleTimeout)
+
+    /** Closes the connection, unless a new configuration lets it be idle for longer. */
     private fun onIdleTimeout() {
-        if (!isBusy) abort("idle for ${limits.idleTimeoutMs} ms")
+        val leftMs = idleSinceMs + limits.idleTimeoutMs - server.nowMs()
+        when {
+            isBusy -> Unit
+            leftMs > 0 -> startIdleTimer(leftMs)
+            else -> closeIdle()
+        }
     }
 
+    private fun closeIdle() = abort("idle for ${limits.idleTimeoutMs} ms")
+
     private fun startTimer(delayMs: Long, action: () -> Unit) {
         timer?.cancel(false)
         timer = channel.eventLoop().schedule(action, delayMs, TimeUnit.MILLISECONDS)
