Read what has arrived before an idle connection is closed

What callers saw: a connection that was reset under a whole request, without an answer or a refusal, on a VM whose event loop was busy.

Cause: the event loop runs timers after it has read its sockets, so that the idle timer could fire with a request unread that had arrived during a long pass.

ConfigurationChangeTest, "a request that arrived while other connections were read is answered on an idle connection", failed before.

--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/caller/HttpServerConnection.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/caller/HttpServerConnection.kt
@@ -228,20 +228,29 @@
         if (head != null) abort("request incomplete after ${limits.idleTimeoutMs} ms")
     }
 
-    private fun startIdleTimer(delayMs: Long) = startTimer(delayMs, ::onIdleTimeout)
+    private fun startIdleTimer(delayMs: Long) {
+        val inputMs = lastInputMs
+        startTimer(delayMs) { onIdleTimeout(inputMs) }
+    }
 
-    /** Closes the connection, unless a new configuration lets it be idle for longer. */
-    private fun onIdleTimeout() {
+    /** Closes the connection, unless a new configuration lets it be idle for longer, or input has arrived. */
+    private fun onIdleTimeout(inputMs: Long) {
         val leftMs = idleSinceMs + limits.idleTimeoutMs - server.nowMs()
         when {
             isBusy -> Unit
             leftMs > 0 -> startIdleTimer(leftMs)
-            else -> closeIdle()
+            // Input that arrived while other connections were read is read before the next timer fires.
+            else -> startTimer(READ_DELAY_MS) { if (!isBusy && lastInputMs == inputMs) closeIdle() else awaitHead() }
         }
     }
 
     private fun closeIdle() = abort("idle for ${limits.idleTimeoutMs} ms")
 
+    /** Closes the connection if the head of which a part has arrived does not become complete. */
+    private fun awaitHead() {
+        if (!isBusy) startTimer(limits.headerTimeoutMs) { if (!isBusy) abort("head of a request incomplete") }
+    }
+
     private fun startTimer(delayMs: Long, action: () -> Unit) {
         timer?.cancel(false)
         timer = channel.eventLoop().schedule(action, delayMs, TimeUnit.MILLISECONDS)
@@ -349,6 +358,9 @@
         /** Lets a close return at once and deliver what has been written. */
         const val LINGER_DISABLED = -1
 
+        /** Longer than the event loop needs to come back to its sockets. */
+        const val READ_DELAY_MS = 1L
+
         /** Time in milliseconds for the client to read the last answer. */
         const val LINGER_MS = 500L
     }
--- a/gentiandale-relay/src/test/kotlin/gentiandale/relay/ConfigurationChangeTest.kt
+++ b/gentiandale-relay/src/test/kotlin/gentiandale/relay/ConfigurationChangeTest.kt
@@ -132,6 +132,36 @@
         }
     }
 
+    @Nested
+    inner class StalledReads {
+        @Test
+        fun `a request that arrived while other connections were read is answered on an idle connection`() {
+            relay.server("s1") { request, socket ->
+                val extra = if ("leave" in request.target) "leaving: 1\r\n" else ""
+                FakeServer.reply(socket, request, "done", extra = extra)
+            }
+            relay.server("s2") { request, socket ->
+                val extra = if ("leave" in request.target) "leaving: 1\r\n" else ""
+                FakeServer.reply(socket, request, "done", extra = extra)
+            }
+            relay.connect().use { socket ->
+                val request = "GET /once/1 HTTP/1.1\r\nhost: h\r\nid: r1\r\n\r\n"
+                socket.getOutputStream().write(request.toByteArray())
+                val buffer = ByteArray(1_000)
+                socket.getInputStream().read(buffer)
+                Thread.sleep(IDLE_MS - 200)
+                relay.departureMs = 600
+                val other = CompletableFuture.supplyAsync { relay.get("/once/leave", id = "r3") }
+                Thread.sleep(60)
+                socket.getOutputStream().write(request.replace("r1", "r2").toByteArray())
+                val count = runCatching { socket.getInputStream().read(buffer) }.getOrElse { -2 }
+                other.get()
+                assertEquals(1, relay.departed.size)
+                assertTrue(count > 0, "closed: $count")
+            }
+        }
+    }
+
     private companion object {
         const val IDLE_MS = 700L
     }
