Let a second answer inside a body with a length or in chunks break it off

What callers saw: an answer with a stated length that its server cut, and that was followed by a second answer to the same request, reached them as a whole 200: ten bytes of the body and 20 bytes of the head of the second answer.

Cause: AnswerDecoder searched only bodies that end with their connection, and those of other requests, for a further answer. In a body with a length or a chunk the length alone decided what belongs to it, whoever's bytes came.

Now all bodies are searched. A well-formed head with an id that the connection has carried breaks a body with a length or in chunks off; what precedes it has been passed on, so that a stream is resumed behind its last whole event. Bodies that hold text like a head, heads with other ids, or whole answers with their own id that end within the stated length pass: a copy of the answer never ends there, as its body alone is as long. The search reads the header lines of heads inside one another once, and at most two interim heads behind each other, so that its cost grows with the length of the body only.

Ruled out: to wait for surplus bytes behind every body, as these may come late and after wrong events have been passed on; to compare the second head with the first, as the second may be a failure. Not decidable: a second answer that ends before its id exactly where the body should; its first one to four bytes there if the rest comes in a later segment. A body that quotes an answer to an earlier request of its connection, or in chunks a whole one to its own, now fails.

--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/upstream/AnswerStart.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/upstream/AnswerStart.kt
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf
 import io.netty.handler.codec.http.DefaultHttpHeaders
+import io.netty.handler.codec.http.HttpHeaderNames
 
 /** Where a further answer to a request starts in the body of an answer. */
 internal sealed interface AnswerStart {
@@ -20,19 +21,29 @@
  * requests that the connection [hasCarried], since a body may hold any text.
  */
 internal class AnswerStartFinder(private val dialect: Dialect, private val hasCarried: (String) -> Boolean) {
-    /** Searches the readable part of [bytes]. A head that was broken off right before the start belongs to it. */
-    fun find(bytes: ByteBuf): AnswerStart = when (val start = findFirst(bytes)) {
-        is AnswerStart.None -> start
-        is AnswerStart.Possible -> AnswerStart.Possible(withBrokenHeads(bytes, start.index))
-        is AnswerStart.Found -> AnswerStart.Found(withBrokenHeads(bytes, start.index), start.id)
-    }
+    /** Header lines without an id that have been read, so that heads inside one another don't read them again. */
+    private var readFrom = 0
+    private var readTo = 0
+
+    /**
+     * Searches the readable part of [bytes] for an answer that starts before [limit]; its head may go on behind it. A
+     * head that was broken off right before the start belongs to it.
+     */
+    fun find(bytes: ByteBuf, limit: Int = bytes.writerIndex()): AnswerStart =
+        when (val start = findFirst(bytes, limit)) {
+            is AnswerStart.None -> start
+            is AnswerStart.Possible -> AnswerStart.Possible(withBrokenHeads(bytes, start.index))
+            is AnswerStart.Found -> AnswerStart.Found(withBrokenHeads(bytes, start.index), start.id)
+        }
 
-    private fun findFirst(bytes: ByteBuf): AnswerStart {
-        var from = bytes.indexOf(bytes.readerIndex(), bytes.writerIndex(), FIRST_BYTE)
+    private fun findFirst(bytes: ByteBuf, limit: Int): AnswerStart {
+        readFrom = 0
+        readTo = 0
+        var from = bytes.indexOf(bytes.readerIndex(), limit, FIRST_BYTE)
         while (from >= 0) {
-            val start = startAt(bytes, from)
+            val start = startAt(bytes, from, MAX_INTERIM_HEADS)
             if (start !is AnswerStart.None) return start
-            from = bytes.indexOf(from + 1, bytes.writerIndex(), FIRST_BYTE)
+            from = bytes.indexOf(from + 1, limit, FIRST_BYTE)
         }
         return AnswerStart.None
     }
@@ -43,14 +54,14 @@
         var copies = 0
         while (copies++ < MAX_BROKEN_HEADS) {
             val from = maxOf(bytes.readerIndex(), first - MAX_HEAD_BYTES)
-            val before = findFirst(bytes.slice(from, first - from))
+            val before = findFirst(bytes.slice(from, first - from), first - from)
             if (before !is AnswerStart.Possible || first - from - before.index < MIN_HEAD_BYTES) break
             first = from + before.index
         }
         return first
     }
 
-    private fun startAt(bytes: ByteBuf, from: Int): AnswerStart {
+    private fun startAt(bytes: ByteBuf, from: Int, interimHeads: Int): AnswerStart {
         if (!matchesPattern(bytes, from)) return AnswerStart.None
         var start: AnswerStart? = null
         var line = from
@@ -60,18 +71,35 @@
             val lineFeed = bytes.indexOf(line, maxEnd, LINE_FEED)
             val end = if (lineFeed >= 0) lineFeed + 1 else maxEnd
             val isCut = lineFeed < 0 && end - line < maxBytes
-            start = if (lineFeed < 0 && !isCut) AnswerStart.None else judgeLine(bytes, from, line, end, isCut)
-            line = end
+            start = when {
+                lineFeed < 0 && !isCut -> AnswerStart.None
+                isEndOfHead(bytes, line, end) -> startBehind(bytes, from, end, interimHeads)
+                else -> judgeLine(bytes, from, line, end, isCut)
+            }
+            line = if (line == from || start != null) end else nextUnread(line, end)
         }
         return start ?: AnswerStart.None
     }
 
+    /** Returns where the lines behind the header line from [line] to [end] go on that have not been read. */
+    private fun nextUnread(line: Int, end: Int): Int {
+        if (line in readFrom..readTo) {
+            readTo = maxOf(readTo, end)
+        } else {
+            readFrom = line
+            readTo = end
+        }
+        return readTo
+    }
+
+    private fun isEndOfHead(bytes: ByteBuf, line: Int, end: Int) =
+        end - line == END_OF_HEAD.length && bytes.toString(line, end - line, Charsets.ISO_8859_1) == END_OF_HEAD
+
     /** Judges a line, which may be [isCut], of the head at [from]; returns null if the next line decides. */
     private fun judgeLine(bytes: ByteBuf, from: Int, line: Int, end: Int, isCut: Boolean): AnswerStart? {
         val text = bytes.toString(line, end - line, Charsets.ISO_8859_1)
         val isStatusLine = line == from
         return when {
-            text == END_OF_HEAD -> startBehind(bytes, from, end)
             !(if (isStatusLine) isStatusLine(text) else isHeaderLine(text)) -> AnswerStart.None
             isCut -> AnswerStart.Possible(from)
             isStatusLine -> null
@@ -79,18 +107,40 @@
         }
     }
 
-    /** Returns whether the bytes from [from] on are, as far as they go, the beginning of a status line. */
-    private fun matchesPattern(bytes: ByteBuf, from: Int): Boolean =
-        (0 until minOf(STATUS_PATTERN.length, bytes.writerIndex() - from)).all { i ->
-            val char = bytes.getByte(from + i).toInt().toChar()
-            if (STATUS_PATTERN[i] == DIGIT) char.isAsciiDigit() else char == STATUS_PATTERN[i]
+    /** Returns where the head that starts at [from] ends, or -1 if it has no end in [bytes] within the limit. */
+    fun endOfHead(bytes: ByteBuf, from: Int): Int {
+        val maxEnd = minOf(bytes.writerIndex(), from + MAX_HEAD_BYTES)
+        var line = from
+        var lineFeed = bytes.indexOf(line, maxEnd, LINE_FEED)
+        while (lineFeed >= 0 && !isEndOfHead(bytes, line, lineFeed + 1)) {
+            line = lineFeed + 1
+            lineFeed = bytes.indexOf(line, maxEnd, LINE_FEED)
         }
+        return if (lineFeed < 0) -1 else lineFeed + 1
+    }
+
+    /** Returns the length of the body as stated in the head from [from] to [end], or null if it states none. */
+    fun statedLength(bytes: ByteBuf, from: Int, end: Int): Long? =
+        bytes.toString(from, end - from, Charsets.ISO_8859_1).lineSequence()
+            .firstOrNull { it.startsWith("${HttpHeaderNames.CONTENT_LENGTH}:", ignoreCase = true) }
+            ?.substringAfter(':')?.trim()?.toLongOrNull()?.takeIf { it >= 0 }
+
+    /** Returns whether the bytes from [from] on are, as far as they go, the beginning of a status line. */
+    private fun matchesPattern(bytes: ByteBuf, from: Int): Boolean {
+        val length = minOf(STATUS_PATTERN.length, bytes.writerIndex() - from)
+        var i = 0
+        while (i < length && isPatternChar(bytes.getByte(from + i).toInt().toChar(), i)) i++
+        return i == length
+    }
+
+    private fun isPatternChar(char: Char, index: Int) =
+        if (STATUS_PATTERN[index] == DIGIT) char.isAsciiDigit() else char == STATUS_PATTERN[index]
 
     /** Returns the start of an answer whose head at [from] has no id: an interim head is followed by the final one. */
-    private fun startBehind(bytes: ByteBuf, from: Int, next: Int): AnswerStart = when {
-        !isInterim(bytes, from) || next - from >= MAX_HEAD_BYTES -> AnswerStart.None
+    private fun startBehind(bytes: ByteBuf, from: Int, next: Int, interimHeads: Int): AnswerStart = when {
+        !isInterim(bytes, from) || interimHeads == 0 -> AnswerStart.None
         next == bytes.writerIndex() -> AnswerStart.Possible(from)
-        else -> when (val start = startAt(bytes, next)) {
+        else -> when (val start = startAt(bytes, next, interimHeads - 1)) {
             is AnswerStart.None -> start
             is AnswerStart.Possible -> AnswerStart.Possible(from)
             is AnswerStart.Found -> AnswerStart.Found(from, start.id)
@@ -103,7 +153,7 @@
     private fun isStatusLine(line: String): Boolean {
         val isPattern = STATUS_PATTERN.indices.all { i ->
             val char = line.getOrNull(i) ?: return !line.endsWith('\n')
-            if (STATUS_PATTERN[i] == DIGIT) char.isAsciiDigit() else char == STATUS_PATTERN[i]
+            isPatternChar(char, i)
         }
         return isPattern && line.getOrElse(STATUS_PATTERN.length) { ' ' } in " \r" && isEndValid(line)
     }
@@ -134,11 +184,12 @@
         private const val END_OF_HEAD = "\r\n"
         private const val MAX_STATUS_LINE_BYTES = 256
         private const val MAX_BROKEN_HEADS = 8
+        private const val MAX_INTERIM_HEADS = 2
         private const val FIRST_BYTE = 'H'.code.toByte()
         private const val LINE_FEED = '\n'.code.toByte()
 
         /** Many times the part of a head before the id. */
-        private const val MAX_HEAD_BYTES = 8_192
+        const val MAX_HEAD_BYTES = 8_192
         private const val TOKEN_PUNCTUATION = "!#$%&'*+-.^_`|~"
 
         private fun Char.isAsciiDigit() = this in '0'..'9'
