End a failure without a length and id where its second answer starts

What callers saw: a failure without a length, from a server that names no request id in it, on a new connection, was passed on with the second answer of the server, head and all, as its body.

Cause: the search for a further answer takes a head only for its id. A failure on a new connection may omit the id, and so does the second one.

In the body of a failure that ends with its connection and has no id, a whole head without an id now counts too, and the beginning of one at the end breaks it off, as in other bodies without a length. Successes are left out: without an id nothing tells a second answer from a body that quotes one, and such a success only answers a request that has no id itself.

UnframedAnswerTest, "the second answer to a failed call is not a part of the body if neither has an id", failed before wherever the second answer was divided: "expected: <[]> but was: <[0, 4, 8, 12, 16, 20, 24, 28, 32, 36]>". It passes now, with the other tests of UnframedAnswerTest, CutAnswerCopyTest, AnswerDecoderTest and SecondAnswerTest.

--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/upstream/AnswerDecoder.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/upstream/AnswerDecoder.kt
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.HttpMessage
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseDecoder
+import io.netty.handler.codec.http.HttpStatusClass
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.LastHttpContent
 
@@ -101,6 +102,8 @@
             framing == AnswerFraming.CONNECTION_END -> Body.UNFRAMED
             else -> Body.FRAMED
         }
+        val isFailure = head.status().codeClass() != HttpStatusClass.SUCCESS
+        starts.acceptsNoId = body == Body.UNFRAMED && isFailure && dialect.requestId(head.headers()) == null
         val isCounted = body == Body.FRAMED && framing == AnswerFraming.LENGTH
         leftBytes = if (isCounted) HttpUtil.getContentLength(head) else Long.MAX_VALUE
     }
@@ -143,7 +146,7 @@
         out: MutableList<Any>,
     ) {
         when {
-            start.id != requestId -> fail("answer to an earlier request inside a body", buffer, out)
+            start.id != null && start.id != requestId -> fail("answer to an earlier request inside a body", buffer, out)
             body == Body.FRAMED -> decodeQuotation(start, ctx, buffer, out)
             else -> {
                 // A body that is discarded may lack a part of a chunk here.
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/upstream/AnswerStart.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/upstream/AnswerStart.kt
@@ -12,8 +12,8 @@
     /** The head of an answer may start at [index], but the bytes end before its id. */
     data class Possible(val index: Int) : AnswerStart
 
-    /** The answer with [id] starts at [index]. */
-    data class Found(val index: Int, val id: String) : AnswerStart
+    /** The answer with [id], or without one, starts at [index]. */
+    data class Found(val index: Int, val id: String?) : AnswerStart
 }
 
 /**
@@ -21,6 +21,9 @@
  * requests that the connection [hasCarried], since a body may hold any text.
  */
 internal class AnswerStartFinder(private val dialect: Dialect, private val hasCarried: (String) -> Boolean) {
+    /** Whether a head without an id counts, as that of a failure may be. */
+    var acceptsNoId = false
+
     /** Header lines without an id that have been read, so that heads inside one another don't read them again. */
     private var readFrom = 0
     private var readTo = 0
@@ -138,7 +141,8 @@
 
     /** Returns the start of an answer whose head at [from] has no id: an interim head is followed by the final one. */
     private fun startBehind(bytes: ByteBuf, from: Int, next: Int, interimHeads: Int): AnswerStart = when {
-        !isInterim(bytes, from) || interimHeads == 0 -> AnswerStart.None
+        !isInterim(bytes, from) -> if (acceptsNoId) AnswerStart.Found(from, null) else AnswerStart.None
+        interimHeads == 0 -> AnswerStart.None
         next == bytes.writerIndex() -> AnswerStart.Possible(from)
         else -> when (val start = startAt(bytes, next, interimHeads - 1)) {
             is AnswerStart.None -> start
--- a/gentiandale-relay/src/test/kotlin/gentiandale/relay/UnframedAnswerTest.kt
+++ b/gentiandale-relay/src/test/kotlin/gentiandale/relay/UnframedAnswerTest.kt
@@ -132,6 +132,35 @@
             assertEquals(1, Regex("HTTP/1.1 500").findAll(answer).count(), answer)
         }
 
+        @Test
+        fun `the second answer to a failed call is not a part of the body if neither has an id`() {
+            val head = "HTTP/1.1 500 Error\r\nsigned: 1\r\n\r\n"
+            val second = "${head}error"
+            val cut = AtomicInteger()
+            relay.server("a") { _, socket ->
+                socket.write("${head}error" + second.take(cut.get()))
+                Thread.sleep(SEGMENT_MS)
+                socket.write(second.drop(cut.get()))
+                false
+            }
+            val mixed = (0..second.length step 4).filter {
+                cut.set(it)
+                val answer = relay.get("/once/1")
+                !answer.startsWith("HTTP/1.1 500") || !answer.endsWith("\r\n\r\nerror") || "error$head" in answer
+            }
+            assertEquals(emptyList(), mixed)
+        }
+
+        @Test
+        fun `a failure without an id that quotes the start of an answer is passed on`() {
+            val body = "a HTTP/1.1 500 Error without\r\na head z"
+            relay.server("a") { _, socket ->
+                socket.write("HTTP/1.1 500 Error\r\n\r\n$body")
+                false
+            }
+            assertTrue(relay.get("/once/1").endsWith("\r\n\r\n$body"))
+        }
+
         @Test
         fun `a large body that is forwarded as it arrives ends before the second answer`() {
             val body = "0123456789".repeat(40_000)
