Take a plain response that ends inside a second head for unknown

What callers of gentiandaled saw: a response without a length whose server began to answer again and broke off inside the head was passed on as whole, with that part of a head as the end of its body.

Cause: only a whole second head was looked for. The end of the connection ends both the body and the part of the head, and plain responses have no id.

Not covered: a second response with another status, which can't be told from a quoted one.

PlainSenderTest, "an answer without length that is followed by a part of its copy is unknown", failed before: "Expected value to be of type <...SendOutcome$Unknown>, actual <...SendOutcome$Answered>". It and the other tests of PlainSenderTest and SecondResponseTest (14) pass now.

--- a/gentiandale-daemon/src/main/kotlin/gentiandale/daemon/claim/PlainSender.kt
+++ b/gentiandale-daemon/src/main/kotlin/gentiandale/daemon/claim/PlainSender.kt
@@ -68,7 +68,7 @@
                 val answer = response.aggregate().await()
                 when {
                     !isUnframed(captor.get()) -> SendOutcome.Answered(answer)
-                    answer.containsOwnHead() -> SendOutcome.Unknown(DOUBLED)
+                    answer.containsOwnHead() || answer.endsInsideOwnHead() -> SendOutcome.Unknown(DOUBLED)
                     refusesConnections(server) && !isLeaving() -> SendOutcome.Unknown(CUT)
                     else -> SendOutcome.Answered(answer)
                 }
--- a/gentiandale-daemon/src/test/kotlin/gentiandale/daemon/claim/PlainSenderTest.kt
+++ b/gentiandale-daemon/src/test/kotlin/gentiandale/daemon/claim/PlainSenderTest.kt
@@ -69,6 +69,12 @@
         assertIs<SendOutcome.Unknown>(send(answer + answer) { })
     }
 
+    @Test
+    fun `an answer without length that is followed by a part of its copy is unknown`() {
+        val head = "HTTP/1.1 200 OK\r\nserver: a\r\n\r\n"
+        assertIs<SendOutcome.Unknown>(send(head + "whole" + head.take(CUT_BYTES)) { })
+    }
+
     @Test
     fun `an answer without length that quotes another answer is complete`() {
         val quoted = "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n"
@@ -132,6 +138,7 @@
         const val BODY = "x"
         const val REQUEST_BYTES = 4_096
         const val TIMEOUT_MS = 3_000L
+        const val CUT_BYTES = 20
 
         /** Time for the sender to read what precedes a reset. */
         const val DELIVERY_MS = 200L
