Print a refusal that the drain test did not expect, and say what it shows

DrainTest, "interrupts no answer while a load balancer still sends calls", failed once beside load without the text of the 503 that it got. It prints the text now, and is stricter: the outcome must be "not-run", not only occur somewhere in the refusal.

--- a/gentiandale-daemon/src/test/kotlin/gentiandale/daemon/DrainTest.kt
+++ b/gentiandale-daemon/src/test/kotlin/gentiandale/daemon/DrainTest.kt
@@ -116,7 +116,8 @@
             stopWhenDrained(0)
             answers.map { it.join() }.forEach {
                 if (it.status().code() == 503) {
-                    assertTrue("\"reason\":\"draining\"" in it.contentUtf8() && "not-run" in it.contentUtf8())
+                    val refusal = it.contentUtf8()
+                    assertTrue("\"reason\":\"draining\"" in refusal && "\"outcome\":\"not-run\"" in refusal, refusal)
                 } else {
                     assertComplete(it, tokens = 20)
                 }
