End a request limit by the answer to a request of the same millisecond

Callers got 503 under a limit that the server had already ended: a server named a limit, the next request left in the millisecond in which that was read, its answer named none and was ignored, and later calls waited for permits under the old limit until they could no longer meet their target. With a server that is the only one of its service, the next permit is due after 1 / limit seconds, so a call is refused; the limit ends with the next answer.

Cause: an answer ends a limit only if its request was sent later than the limit was last named, and the order was taken from times in whole milliseconds, where "after" and "before" look the same. A trace of 34 failures of the old test, repeated in one JVM, shows each time an answer without a limit to a request of the very millisecond of the naming, then the 503. Ruled out by the same trace: a permit awaited from before the end of the limit, a send refused for lack of a permit, and an answer that brings the limit back (none was stated after the first).

RequestLimit now orders sends and answers itself: a send is later than each statement read before it, and a statement not earlier than each send before it, also within one millisecond. Statements of other VMs are compared by time as before. An answer without any request sent ends no limit.

The new test of RequestLimitTest failed before ("expected [1.0, null] but was [1.0]"), with a clock that stands still; those of ServerRequestLimitTest failed with either half of the order left out.

--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/backend/RequestLimit.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/backend/RequestLimit.kt
@@ -12,6 +12,7 @@
 public class RequestLimit(private val random: Random = Random.Default) {
     private var statedMs = Long.MIN_VALUE / 2
     private var stated: Double? = null
+    private var lastSentMs = Long.MIN_VALUE / 2
     private val permitEnds = ArrayDeque<Long>()
     private var wanted = 0
     private var lastRequestMs = Long.MIN_VALUE / 2
@@ -55,13 +56,23 @@
     }
 
     /**
-     * Records what an answer says to a request that was sent at [sentMs]. Returns whether that differs from what was
-     * known. An answer without a limit ends one only if its request was sent after the limit was last named.
+     * Records that a request is sent at [nowMs]. Returns the time for [onAnswer], which is later than that of every
+     * statement read before, and not later than that of one read after, also within one millisecond.
      */
-    public fun onAnswer(reading: LimitReading, sentMs: Long, nowMs: Long): Boolean = when (reading) {
-        is LimitReading.Invalid -> false
-        is LimitReading.Named -> state(reading.perSecond, nowMs)
-        is LimitReading.None -> stated != null && sentMs > statedMs && state(null, nowMs)
+    public fun onSent(nowMs: Long): Long = maxOf(nowMs, statedMs + 1).also { lastSentMs = it }
+
+    /**
+     * Records what an answer says to a request that was sent at [sentMs], as returned by [onSent]. Returns whether that
+     * differs from what was known. An answer without a limit ends one only if its request was sent after the limit was
+     * last named.
+     */
+    public fun onAnswer(reading: LimitReading, sentMs: Long, nowMs: Long): Boolean {
+        val atMs = maxOf(nowMs, lastSentMs)
+        return when (reading) {
+            is LimitReading.Invalid -> false
+            is LimitReading.Named -> state(reading.perSecond, atMs)
+            is LimitReading.None -> stated != null && sentMs > statedMs && state(null, atMs)
+        }
     }
 
     /** Records that the server named the limit [perSecond], or none, at [atMs]; returns whether that is a change. */
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/KvCache.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/KvCache.kt
@@ -17,9 +17,14 @@
         val startMs = context.nowMs()
         if (server.isResting(startMs) || !server.limit.take(startMs)) return
         val listener = object : AnswerListener {
-            override fun onConnected(): FullHttpRequest = context.dialect.releaseCache(handle)
+            private var sentMs = Long.MIN_VALUE
 
-            override fun onHead(head: HttpResponse) = context.readNotices(server, request, head, startMs)
+            override fun onConnected(): FullHttpRequest {
+                sentMs = server.limit.onSent(context.nowMs())
+                return context.dialect.releaseCache(handle)
+            }
+
+            override fun onHead(head: HttpResponse) = context.readNotices(server, request, head, sentMs)
 
             override fun onContent(content: ByteBuf) = Unit
 
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/RelayContext.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/RelayContext.kt
@@ -95,7 +95,11 @@
     /** Returns the milliseconds until a server of [service] accepts work again if all rest now, or null. */
     fun restLeftMs(service: ServiceName): Long? = registry.restLeftMs(service, nowMs())
 
-    /** Reads what the [head] of an answer to [request], sent at [sentMs], says about [server] itself. */
+    /**
+     * Reads what the [head] of an answer to [request] says about [server] itself.
+     *
+     * @param sentMs time of the request as returned by [gentiandale.relay.backend.RequestLimit.onSent].
+     */
     fun readNotices(server: Backend, request: String?, head: HttpResponse, sentMs: Long) {
         if (dialect.isLeaving(head.headers()) && !server.row.departing) {
             val row = server.row.copy(departing = true)
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/RequestHandler.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/RequestHandler.kt
@@ -252,6 +252,7 @@
     ) : AnswerListener {
         var exchange: Exchange? = null
         private var sentMs: Long? = null
+        private var limitSentMs = Long.MIN_VALUE
         private var timer: ScheduledFuture<*>? = null
         private var isDone = false
 
@@ -304,7 +305,7 @@
                 return null
             }
             if (!permits.use(server)) return onNoPermit()
-            sentMs = context.nowMs()
+            sentMs = context.nowMs().also { limitSentMs = server.limit.onSent(it) }
             if (server.unansweredSinceMs == null) server.unansweredSinceMs = sentMs
             return handler.request()
         }
@@ -323,7 +324,7 @@
             sentMs?.let { server.onAnswer(context.nowMs() - it) }
             if (!context.dialect.isNotExecuted(head.status().code(), head.headers())) server.onAccepted()
             server.unansweredSinceMs = null
-            context.readNotices(server, routed.id, head, sentMs ?: context.nowMs())
+            context.readNotices(server, routed.id, head, limitSentMs)
             handler.onHead(head)
             val timeoutMs = handler.bodyTimeoutMs ?: return
             ifUnanswered(timeoutMs) { giveUp("answer incomplete $timeoutMs ms after its head") }
--- a/gentiandale-relay/src/test/kotlin/gentiandale/relay/RelayFixture.kt
+++ b/gentiandale-relay/src/test/kotlin/gentiandale/relay/RelayFixture.kt
@@ -1,6 +1,7 @@
 package gentiandale.relay
 
 import gentiandale.core.Address
+import gentiandale.core.Clock
 import gentiandale.core.Incarnation
 import gentiandale.core.ServerId
 import gentiandale.core.ServerKind
@@ -27,15 +28,17 @@
  * A relay on the loopback interface with its own event loop; it logs to [log].
  *
  * @param maxConnections limit of the service, of which the relay uses a part.
+ * @param clock time by which the relay decides.
  */
 class RelayFixture(
     limits: HttpServerLimits = HttpServerLimits(),
     log: EventLog = EventLog.NONE,
     maxConnections: Int = 100,
+    private val clock: Clock = SystemClock,
 ) : AutoCloseable {
     private val transport = Transport()
-    private val relay = Relay(RelaySettings(HOME, 1.0, 100, 10_000), transport, TestDialect, SystemClock, log)
-    private val server = HttpServer(transport, SystemClock::monotonicMs, { limits }, relay, log)
+    private val relay = Relay(RelaySettings(HOME, 1.0, 100, 10_000), transport, TestDialect, clock, log)
+    private val server = HttpServer(transport, clock::monotonicMs, { limits }, relay, log)
     private val servers = ArrayList<FakeServer>()
     val port: Int
 
@@ -166,16 +169,16 @@
 
     /** Starts a shutdown as if it had been signalled [agoMs] milliseconds ago, with [remainingMs] left. */
     fun beginShutdown(agoMs: Long, remainingMs: Long) {
-        val now = SystemClock.monotonicMs()
+        val now = clock.monotonicMs()
         transport.loop.submit { relay.beginShutdown(ShutdownWindow(now - agoMs, now + remainingMs)) }.get()
     }
 
     /** Shuts down within [limitMs] milliseconds, at once if no request arrives; returns whether all got answers. */
     fun shutDown(limitMs: Long): Boolean {
-        val now = SystemClock.monotonicMs()
+        val now = clock.monotonicMs()
         val window = ShutdownWindow(now, now + limitMs)
         transport.loop.submit { relay.beginShutdown(window) }.get()
-        val shutdown = GracefulShutdown(server, transport.loop, SystemClock::monotonicMs, minMs = 0, quietMs = 0)
+        val shutdown = GracefulShutdown(server, transport.loop, clock::monotonicMs, minMs = 0, quietMs = 0)
         return shutdown.run(window)
     }
 
--- a/gentiandale-relay/src/test/kotlin/gentiandale/relay/RequestLimitTest.kt
+++ b/gentiandale-relay/src/test/kotlin/gentiandale/relay/RequestLimitTest.kt
@@ -1,6 +1,7 @@
 package gentiandale.relay
 
 import gentiandale.core.Incarnation
+import gentiandale.core.ManualClock
 import gentiandale.core.ServerId
 import gentiandale.core.ServerKind
 import gentiandale.core.backend.LimitStatement
@@ -118,10 +119,24 @@
             named = ""
             val endNanos = System.nanoTime() + RUN_MS * NANOS_PER_MS
             while (!relay.get("/safe/1").startsWith("HTTP/1.1 200") && System.nanoTime() < endNanos) Thread.sleep(50)
-            repeat(20) { assertTrue(relay.get("/safe/$it").startsWith("HTTP/1.1 200")) }
+            repeat(20) {
+                val answer = relay.get("/safe/$it")
+                assertTrue(answer.startsWith("HTTP/1.1 200"), "call $it, limits so far ${relay.limits}: $answer")
+            }
             assertEquals(listOf(1.0, null), relay.limits.map { it.perSecond })
         }
 
+        @Test
+        fun `the answer to a request of the millisecond in which the limit was named ends it`() {
+            RelayFixture(clock = ManualClock()).use { relay ->
+                relay.server("a") { request, socket -> FakeServer.reply(socket, request, "a", extra = named) }
+                relay.get("/safe/first")
+                named = ""
+                assertTrue(relay.get("/safe/1").startsWith("HTTP/1.1 200"))
+                assertEquals(listOf(1.0, null), relay.limits.map { it.perSecond })
+            }
+        }
+
         @Test
         fun `a new process of the server has no limit`() {
             val server = start()
--- a/gentiandale-relay/src/test/kotlin/gentiandale/relay/backend/ServerRequestLimitTest.kt
+++ b/gentiandale-relay/src/test/kotlin/gentiandale/relay/backend/ServerRequestLimitTest.kt
@@ -94,6 +94,22 @@
             assertNull(limit.perSecond(150))
         }
 
+        @Test
+        fun `an answer without a limit ends one that was named in the millisecond in which its request was sent`() {
+            limit.onAnswer(LimitReading.Named(4.0), limit.onSent(80), nowMs = 100)
+            assertTrue(limit.onAnswer(LimitReading.None, limit.onSent(100), nowMs = 100))
+            assertNull(limit.perSecond(100))
+        }
+
+        @Test
+        fun `a limit named after a request was sent is not ended by its answer, also in the same millisecond`() {
+            limit.onAnswer(LimitReading.Named(4.0), limit.onSent(80), nowMs = 100)
+            val sentMs = limit.onSent(100)
+            limit.onAnswer(LimitReading.Named(4.0), limit.onSent(100), nowMs = 100)
+            assertFalse(limit.onAnswer(LimitReading.None, sentMs, nowMs = 100))
+            assertEquals(4.0, limit.perSecond(100))
+        }
+
         @Test
         fun `an invalid value keeps what was said before`() {
             limit.onAnswer(LimitReading.Named(4.0), sentMs = 0, nowMs = 100)
