Send an unanswered call to a limited server when a permit arrives later

Callers got 504 although a server could have answered: the server of a call fell silent, the only other one had named a request limit, and this VM had no permit for it after 150 ms, when the call looked for another server. It looked only that once. The look asked for permits, but when one arrived, nobody used it, and the call waited for the silent server until its deadline.

Found while tracing the red run of PlatformLimitTest: beside six busy loops its app "i-2" accepted no connection for two seconds, and nine calls, one at each VM, ended with 504 after one attempt, while no call was sent to "i-1", whose limit of 3.8 a second allowed some. Ruled out there: a limit that was ended or named wrongly, a refusal (no 503), and stalled VMs (their deadlines were kept to the millisecond). Why the app accepted nothing for two seconds is not known.

A call that has another server but no permit for it now looks again each 100 ms until it is answered, as calls do that wait in the permit queue.

--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/PlainRequestHandler.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/PlainRequestHandler.kt
@@ -129,9 +129,17 @@
         dispatch()
     }
 
-    /** Tries another server after [ANSWER_TIMEOUT_MS] without an answer. Without another one the answer is awaited. */
+    /**
+     * Tries another server after [ANSWER_TIMEOUT_MS] without an answer, or when there is a permit for one later.
+     * Without another one the answer is awaited.
+     */
     private fun onNoAnswer(send: Send) {
-        if (allowedServers().none { it !== send.server && it.row.id !in tried }) return
+        val isOther = { server: Backend -> server !== send.server && server.row.id !in tried }
+        if (allowedServers().none(isOther)) {
+            val lacksPermit = context.lacksPermits(routed.service) { isAllowed(it) && isOther(it) }
+            if (lacksPermit) send.ifUnanswered(PERMIT_RECHECK_MS) { onNoAnswer(send) }
+            return
+        }
         if (!mayRetry() || context.budgetOf(routed.service).remaining(context.nowMs()) <= 0) return
         send.recordFailure("no answer within $ANSWER_TIMEOUT_MS ms")
         send.cancel()
--- a/gentiandale-relay/src/test/kotlin/gentiandale/relay/RequestLimitTest.kt
+++ b/gentiandale-relay/src/test/kotlin/gentiandale/relay/RequestLimitTest.kt
@@ -47,6 +47,28 @@
         }
     }
 
+    @Nested
+    inner class Silent {
+        @Test
+        fun `a call that its server does not answer goes to a limited one when a permit arrives`() {
+            relay.server("b") { _, _ ->
+                thread {
+                    Thread.sleep(LATE_PERMIT_MS)
+                    relay.issuesPermits = true
+                }
+                Thread.sleep(SILENCE_MS)
+                false
+            }
+            relay.issuesPermits = false
+            relay.server("a") { request, socket -> FakeServer.reply(socket, request, "a") }
+            relay.mergeLimits(listOf(LimitStatement(ServerId("a"), Incarnation(1), perSecond = 2.0)))
+            val startNanos = System.nanoTime()
+            val answer = relay.get("/safe/1")
+            val elapsedMs = (System.nanoTime() - startNanos) / NANOS_PER_MS
+            assertTrue(answer.startsWith("HTTP/1.1 200") && elapsedMs < SILENCE_MS / 2, "after $elapsedMs ms: $answer")
+        }
+    }
+
     @Nested
     inner class AllServers {
         @Test
@@ -200,6 +222,12 @@
     private companion object {
         const val PERMIT_DELAY_MS = 150L
 
+        /** After the time at which a call looks for another server. */
+        const val LATE_PERMIT_MS = 300L
+
+        /** Of a sound server; below the time limit of the route. */
+        const val SILENCE_MS = 3_000L
+
         /** Target of the route, until which a call may wait for a permit. */
         const val TARGET_MS = 1_000L
         const val LIMIT = 4
