Move limits and messages of request handlers to files of their own

The bounds of a generation, the request to a server and the test whether an answer can be forwarded are separate concepts; nothing else changes.

--- /dev/null
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/GenerationLimits.kt
@@ -0,0 +1,37 @@
+package gentiandale.relay.request
+
+/** Times and numbers that bound the handling of a generation. */
+internal object GenerationLimits {
+    /** Longest gap between two events where the route states none. */
+    const val DEFAULT_GAP_MS = 300L
+
+    /** Reservations that a request drops because of conflicts before it goes ahead in spite of one. */
+    const val MAX_CONFLICTS = 4
+
+    /** Prefill calls per request, after which a decode server reads the prompt itself. */
+    const val MAX_PREFILL_CALLS = 2
+
+    /** Rejections by servers after which the request is refused. */
+    const val MAX_REJECTIONS = 4
+
+    /** A prefill is given up after this multiple of its expected duration. */
+    const val PREFILL_TIMEOUT_FACTOR = 2.0
+
+    /** Upper bound of the prefill timeout in milliseconds, since the caller waits for the first event. */
+    const val MAX_PREFILL_MS = 1_200L
+
+    /** Time in milliseconds for the connection, the round trip and the engine step that is running. */
+    const val PREFILL_CALL_MARGIN_MS = 150L
+
+    /** Callers wait for the first event for about four targets, and reading a prompt again costs more. */
+    const val FIRST_EVENT_MARGIN_MS = 1_200L
+
+    /** A gap that makes a stream late and is longer than the retransmission of a lost packet. */
+    const val EVENT_GAP_TIMEOUT_MS = 1_000L
+
+    /** Time in milliseconds for which two servers may work on a stream that is being moved. */
+    const val MAX_OVERLAP_MS = 250L
+
+    /** Time in which an engine finishes a few requests; the caller is told to retry after it. */
+    const val RETRY_AFTER_MS = 1_000L
+}
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/GenerationRequestHandler.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/GenerationRequestHandler.kt
@@ -93,10 +93,10 @@
     private fun place(): Boolean {
         if (endIfQuarantined()) return true
         val now = context.nowMs()
-        val excluded = if (prefillCount < MAX_PREFILL_CALLS) tried else tried + prefillServers()
+        val excluded = if (prefillCount < GenerationLimits.MAX_PREFILL_CALLS) tried else tried + prefillServers()
         val engineRule = if (context.queue.isLate(queued)) engine?.forLateWork() else engine
         val candidates = candidates()
-        val gapMs = route.maxGapMs.takeIf { it > 0 } ?: DEFAULT_GAP_MS
+        val gapMs = route.maxGapMs.takeIf { it > 0 } ?: GenerationLimits.DEFAULT_GAP_MS
         when (val plan = context.generationPlacement.plan(candidates, excluded, need, engineRule, now, gapMs)) {
             is GenerationPlan.NoCapacity -> return false
             is GenerationPlan.NoServer -> {
@@ -128,7 +128,7 @@
         val fits = context.generationPlacement.fitsWithPeers(plan, promptReservation.tokens, engine, context.nowMs())
         promptReservation.release()
         when {
-            !fits && conflicts < MAX_CONFLICTS -> {
+            !fits && conflicts < GenerationLimits.MAX_CONFLICTS -> {
                 conflicts++
                 context.log.write(
                     RelayEvent.ReservationConflict(routed.id, plan.decode.load, plan.prefill?.load, conflicts),
@@ -163,13 +163,13 @@
     }
 
     private fun refuseOrFail(reason: String) {
-        val retryMs = context.restLeftMs(routed.service) ?: RETRY_AFTER_MS
+        val retryMs = context.restLeftMs(routed.service) ?: GenerationLimits.RETRY_AFTER_MS
         if (runState == RunState.NOT_RUN && !stream.hasBegun) refuse(reason, retryMs) else fail(reason)
     }
 
     private fun startPrefill(server: Backend) {
         if (prefillCount > 0 && !context.budgetOf(routed.service).tryTake(context.nowMs())) {
-            prefillCount = MAX_PREFILL_CALLS
+            prefillCount = GenerationLimits.MAX_PREFILL_CALLS
             return reservation.server?.let(::startGeneration) ?: refuseOrFail(continuity.noServer)
         }
         prefillCount++
@@ -187,8 +187,10 @@
 
     /** Tries another server if [send] takes longer than the known backlog of its prefill server explains. */
     private fun watchPrefill(send: Send, waitedMs: Long) {
-        val expectedMs = context.generationPlacement.prefillMs(send.server, 0) * PREFILL_TIMEOUT_FACTOR
-        val limitMs = (expectedMs.toLong() + PREFILL_CALL_MARGIN_MS).coerceAtMost(MAX_PREFILL_MS)
+        val expectedMs = context.generationPlacement.prefillMs(send.server, 0) * GenerationLimits.PREFILL_TIMEOUT_FACTOR
+        val limitMs = (expectedMs.toLong() + GenerationLimits.PREFILL_CALL_MARGIN_MS).coerceAtMost(
+            GenerationLimits.MAX_PREFILL_MS,
+        )
         if (limitMs > waitedMs) return send.ifUnanswered(limitMs - waitedMs) { watchPrefill(send, limitMs) }
         send.recordFailure("prefill returned no KV cache within $waitedMs ms")
         send.cancel()
@@ -218,7 +220,11 @@
         val send = send(server, if (source == null) "run" else "decode", Long.MAX_VALUE, call)
         currentSend = send
         val prefillMs = if (source == null) context.generationPlacement.prefillMs(server, size.prompt) else 0.0
-        watchEvents(send, (prefillMs * PREFILL_TIMEOUT_FACTOR).toLong() + FIRST_EVENT_MARGIN_MS, 0)
+        watchEvents(
+            send,
+            (prefillMs * GenerationLimits.PREFILL_TIMEOUT_FACTOR).toLong() + GenerationLimits.FIRST_EVENT_MARGIN_MS,
+            0,
+        )
     }
 
     /** Asks another server to take the request over if [send] yields no event for [delayMs] milliseconds. */
@@ -264,7 +270,7 @@
         tried -= previous.send.server.row.id
         val silentMs = context.nowMs() - previous.sinceMs
         silences.onReturn(previous.send.server, previous.send.handler.eventCount, silentMs, reason)
-        watchEvents(previous.send, EVENT_GAP_TIMEOUT_MS, silentMs)
+        watchEvents(previous.send, GenerationLimits.EVENT_GAP_TIMEOUT_MS, silentMs)
         return true
     }
 
@@ -319,7 +325,7 @@
     override fun startAttempt(generation: GenerationCall): FullHttpRequest {
         attempts++
         if (silent != null) {
-            schedule(MAX_OVERLAP_MS) { if (currentSend?.handler === generation) leaveSilentServer() }
+            schedule(GenerationLimits.MAX_OVERLAP_MS) { if (currentSend?.handler === generation) leaveSilentServer() }
         }
         countSend()
         stateBeforeRun = runState
@@ -334,7 +340,7 @@
         if (isAtSilentServer(generation)) returnToServer("the server goes on") else leaveSilentServer()
         continuity.onEvent(generation.server, routed.service)
         reservation.onEvent()
-        currentSend?.let { watchEvents(it, EVENT_GAP_TIMEOUT_MS, 0) }
+        currentSend?.let { watchEvents(it, GenerationLimits.EVENT_GAP_TIMEOUT_MS, 0) }
     }
 
     override fun onEstablished(generation: GenerationCall) = crashSuspect.onAnswered(generation.server)
@@ -357,7 +363,11 @@
         rejections++
         currentSend?.logFailure("request not executed: status $status")
         val server = generation.server
-        if (rejections > MAX_REJECTIONS) return refuseOrFail("rejected by ${server.row.id} with $status")
+        if (rejections >
+            GenerationLimits.MAX_REJECTIONS
+        ) {
+            return refuseOrFail("rejected by ${server.row.id} with $status")
+        }
         server.onFull(context.nowMs())
         // If the server was full, another one can use the KV cache; if the cache has expired, this costs a round trip.
         val other = generation.source?.takeIf { rejections == 1 }?.let { chooseDecode(tried + server.row.id) }
@@ -407,38 +417,5 @@
     private companion object {
         /** Used for a request that does not state its size. */
         val DEFAULT_SIZE = GenerationSize(prompt = 1_000, answer = 100, expected = 100)
-
-        /** Longest gap between two events where the route states none. */
-        const val DEFAULT_GAP_MS = 300L
-
-        /** Reservations that a request drops because of conflicts before it goes ahead in spite of one. */
-        const val MAX_CONFLICTS = 4
-
-        /** Prefill calls per request, after which a decode server reads the prompt itself. */
-        const val MAX_PREFILL_CALLS = 2
-
-        /** Rejections by servers after which the request is refused. */
-        const val MAX_REJECTIONS = 4
-
-        /** A prefill is given up after this multiple of its expected duration. */
-        const val PREFILL_TIMEOUT_FACTOR = 2.0
-
-        /** Upper bound of the prefill timeout in milliseconds, since the caller waits for the first event. */
-        const val MAX_PREFILL_MS = 1_200L
-
-        /** Time in milliseconds for the connection, the round trip and the engine step that is running. */
-        const val PREFILL_CALL_MARGIN_MS = 150L
-
-        /** Callers wait for the first event for about four targets, and reading a prompt again costs more. */
-        const val FIRST_EVENT_MARGIN_MS = 1_200L
-
-        /** A gap that makes a stream late and is longer than the retransmission of a lost packet. */
-        const val EVENT_GAP_TIMEOUT_MS = 1_000L
-
-        /** Time in milliseconds for which two servers may work on a stream that is being moved. */
-        const val MAX_OVERLAP_MS = 250L
-
-        /** Time in which an engine finishes a few requests; the caller is told to retry after it. */
-        const val RETRY_AFTER_MS = 1_000L
     }
 }
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/RequestHandler.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/RequestHandler.kt
@@ -13,15 +13,11 @@
 import gentiandale.relay.upstream.SendFailure
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
-import io.netty.handler.codec.http.DefaultFullHttpRequest
 import io.netty.handler.codec.http.DefaultHttpHeaders
 import io.netty.handler.codec.http.FullHttpRequest
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaders
-import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpResponse
-import io.netty.handler.codec.http.HttpStatusClass
-import io.netty.handler.codec.http.HttpVersion
 import io.netty.util.concurrent.ScheduledFuture
 import java.util.concurrent.TimeUnit
 
@@ -182,16 +178,8 @@
     protected fun mayRetry(): Boolean =
         (runState == RunState.NOT_RUN || route.repetition != Repetition.AT_MOST_ONCE) && attempts < route.maxAttempts
 
-    /**
-     * Returns whether an answer that is not a stream can be forwarded unchanged. An unsigned or encoded answer can't,
-     * nor one whose status claims that a request which must not be repeated has not run.
-     */
-    protected fun canForward(answer: HttpResponse): Boolean {
-        val status = answer.status()
-        val signed = status.codeClass() != HttpStatusClass.SUCCESS || context.dialect.isSigned(answer.headers())
-        val claimsNotRun = status.code() in NOT_RUN_STATUSES && route.repetition == Repetition.AT_MOST_ONCE
-        return signed && !claimsNotRun && !answer.headers().contains(HttpHeaderNames.CONTENT_ENCODING)
-    }
+    /** Returns whether [answer], which is not a stream, can be forwarded unchanged. */
+    protected fun canForward(answer: HttpResponse): Boolean = answer.isForwardable(route, context.dialect)
 
     /** Charges a repeated send to the retry budget that all VMs share; the first send is free. */
     protected fun takeRetryBudget(): Boolean {
@@ -215,18 +203,8 @@
     }
 
     /** Builds the request to [server], with [change] applied to its headers. */
-    protected fun buildRequest(server: Backend, change: (HttpHeaders) -> Unit): FullHttpRequest {
-        val body = routed.request.body.retainedDuplicate()
-        val request = DefaultFullHttpRequest(HttpVersion.HTTP_1_1, routed.request.method, routed.request.target, body)
-        request.headers().set(routed.headers)
-        val urgency = route.urgency.takeIf { routed.rule?.engine != null }
-        context.dialect.setTarget(request.headers(), leftMs().coerceAtLeast(1), server.row.id, urgency)
-        if (body.isReadable || routed.request.method == HttpMethod.POST || routed.request.method == HttpMethod.PUT) {
-            request.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes())
-        }
-        change(request.headers())
-        return request
-    }
+    protected fun buildRequest(server: Backend, change: (HttpHeaders) -> Unit): FullHttpRequest =
+        routed.requestTo(server, leftMs().coerceAtLeast(1), context.dialect, change)
 
     /** Sends the request to [server] for [operation]; [handler] receives the answer. */
     protected fun send(server: Backend, operation: String, maxIdleMs: Long, handler: SendHandler): Send {
@@ -430,8 +408,5 @@
         /** Time in milliseconds after which a caller may retry; another VM answers it. */
         const val STOPPING_RETRY_MS = 300L
         const val NO_PERMIT = "no permit left under the request limit of the server"
-
-        /** Statuses by which a caller may conclude that the request has not run. */
-        val NOT_RUN_STATUSES = setOf(408, 421, 429, 503)
     }
 }
