Wait for the ends of all requests in the test of traces

Cause: a caller has its answer before the relay logs the end of the request, and the test read the lines as soon as the callers had returned, so that the last line could be missing. The test is wrong, not the product. All lines are still required, as before.

--- a/gentiandale-cli/src/test/kotlin/gentiandale/cli/log/FaultTraceTest.kt
+++ b/gentiandale-cli/src/test/kotlin/gentiandale/cli/log/FaultTraceTest.kt
@@ -73,9 +73,16 @@
             }
             callers.shutdown()
             assertTrue(callers.awaitTermination(TIMEOUT_S, TimeUnit.SECONDS))
+            awaitEnds()
         }
     }
 
+    /** Waits for the last lines, since a caller has its answer before the relay logs the end of the request. */
+    private fun awaitEnds() {
+        val endNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(TIMEOUT_S)
+        while (lines.count { ENDED in it } < REQUESTS && System.nanoTime() < endNanos) Thread.sleep(1)
+    }
+
     private fun check(trace: List<LogRecord>, id: String, fault: Fault) {
         val text = trace.joinToString("\n") { "${it.timeMs} ${it.event} ${it.detail()}" }
         val ended = trace.single { it.event == "relay/ended" }
@@ -111,5 +118,6 @@
         /** Minimum time for which the relay waits for the prefill of a short prompt. */
         const val MIN_PREFILL_WAIT_MS = 140L
         const val PLACED = "relay/placed"
+        const val ENDED = "\"event\":\"ended\""
     }
 }
