--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/GenerationRequestHandler.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/GenerationRequestHandler.kt
@@ -46,7 +46,7 @@
         QueuedGeneration(route.urgency, routed.request.startMs, routed.request.startMs + route.targetMs)
         private set
 
-    /** The send to a server that has fallen silent. It stays open until another server has accepted the stream. */
+    /** The send to a server that has fallen silent. It stays open until another server has sent an event. */
     private inner class SilentStream(val send: Send, val reservation: MemoryReservation, val sinceMs: Long)
 
     private fun newReservation() = MemoryReservation(need, engine?.tokensPerEvent ?: 1, ::onReservationChanged)
@@ -100,12 +100,8 @@
         when (val plan = context.generationPlacement.plan(candidates, excluded, need, engineRule, now, gapMs)) {
             is GenerationPlan.NoCapacity -> return false
             is GenerationPlan.NoServer -> {
-                if (context.lacksPermits(routed.service) {
-                        it.row.id !in excluded && continuity.allows(it)
-                    }
-                ) {
-                    return false
-                }
+                val isPossible = { server: Backend -> server.row.id !in excluded && continuity.allows(server) }
+                if (context.lacksPermits(routed.service, isPossible)) return false
                 refuseOrFail(continuity.noServer)
             }
             is GenerationPlan.Placement -> {
@@ -188,9 +184,8 @@
     /** Tries another server if [send] takes longer than the known backlog of its prefill server explains. */
     private fun watchPrefill(send: Send, waitedMs: Long) {
         val expectedMs = context.generationPlacement.prefillMs(send.server, 0) * GenerationLimits.PREFILL_TIMEOUT_FACTOR
-        val limitMs = (expectedMs.toLong() + GenerationLimits.PREFILL_CALL_MARGIN_MS).coerceAtMost(
-            GenerationLimits.MAX_PREFILL_MS,
-        )
+        val neededMs = expectedMs.toLong() + GenerationLimits.PREFILL_CALL_MARGIN_MS
+        val limitMs = neededMs.coerceAtMost(GenerationLimits.MAX_PREFILL_MS)
         if (limitMs > waitedMs) return send.ifUnanswered(limitMs - waitedMs) { watchPrefill(send, limitMs) }
         send.recordFailure("prefill returned no KV cache within $waitedMs ms")
         send.cancel()
@@ -220,11 +215,8 @@
         val send = send(server, if (source == null) "run" else "decode", Long.MAX_VALUE, call)
         currentSend = send
         val prefillMs = if (source == null) context.generationPlacement.prefillMs(server, size.prompt) else 0.0
-        watchEvents(
-            send,
-            (prefillMs * GenerationLimits.PREFILL_TIMEOUT_FACTOR).toLong() + GenerationLimits.FIRST_EVENT_MARGIN_MS,
-            0,
-        )
+        val readMs = (prefillMs * GenerationLimits.PREFILL_TIMEOUT_FACTOR).toLong()
+        watchEvents(send, readMs + GenerationLimits.FIRST_EVENT_MARGIN_MS, 0)
     }
 
     /** Asks another server to take the request over if [send] yields no event for [delayMs] milliseconds. */
@@ -363,11 +355,8 @@
         rejections++
         currentSend?.logFailure("request not executed: status $status")
         val server = generation.server
-        if (rejections >
-            GenerationLimits.MAX_REJECTIONS
-        ) {
-            return refuseOrFail("rejected by ${server.row.id} with $status")
-        }
+        val isRejectedOften = rejections > GenerationLimits.MAX_REJECTIONS
+        if (isRejectedOften) return refuseOrFail("rejected by ${server.row.id} with $status")
         server.onFull(context.nowMs())
         // If the server was full, another one can use the KV cache; if the cache has expired, this costs a round trip.
         val other = generation.source?.takeIf { rejections == 1 }?.let { chooseDecode(tried + server.row.id) }
