Cancel a send that is not connected yet before another server is tried

Cause: since a silent server is kept until another one answers, a send whose connection was still being opened after 150 ms was kept too. It was written after the next send, and attempts, which are counted as requests are written, did not stop a third one.

By reading of the trace.

--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/GenerationRequestHandler.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/GenerationRequestHandler.kt
@@ -233,10 +233,15 @@
         when (step) {
             is SilenceStep.Wait -> if (!step.isFinal) watchEvents(send, delayMs, waitedMs)
             is SilenceStep.Move -> {
-                send.onSilence()
                 tried += send.server.row.id
-                silent = SilentStream(send, reservation, context.nowMs() - waitedMs)
-                reservation = newReservation()
+                if (send.isSent) {
+                    send.onSilence()
+                    silent = SilentStream(send, reservation, context.nowMs() - waitedMs)
+                    reservation = newReservation()
+                } else {
+                    send.recordFailure("not connected within $waitedMs ms")
+                    send.cancel()
+                }
                 restart()
             }
         }
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/PlainRequestHandler.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/PlainRequestHandler.kt
@@ -144,9 +144,14 @@
             return
         }
         if (!mayRetry() || context.budgetOf(routed.service).remaining(context.nowMs()) <= 0) return
-        send.onSilence()
         tried += send.server.row.id
-        silent = send
+        if (send.isSent) {
+            send.onSilence()
+            silent = send
+        } else {
+            send.recordFailure("not connected within $ANSWER_TIMEOUT_MS ms")
+            send.cancel()
+        }
         dispatch()
     }
 
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/RequestHandler.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/RequestHandler.kt
@@ -238,6 +238,9 @@
         val handler: SendHandler,
     ) : AnswerListener {
         var exchange: Exchange? = null
+
+        /** Whether the request has been written, so that the server may work on it. */
+        val isSent: Boolean get() = exchange?.isSent == true
         private var sentMs: Long? = null
         private var limitSentMs = Long.MIN_VALUE
         private var timer: ScheduledFuture<*>? = null
