Show a stream that is cut as its silent server was left and no retry is left

The fixture has a parameter for the retry budget; the test beside it, with budget left, passes as before.

--- a/gentiandale-relay/src/test/kotlin/gentiandale/relay/RelayFixture.kt
+++ b/gentiandale-relay/src/test/kotlin/gentiandale/relay/RelayFixture.kt
@@ -39,6 +39,7 @@
  * @param forwardPort port of all VMs for forwarded requests.
  * @param version version of the configuration.
  * @param transport event loop and sockets of the relay.
+ * @param retryMinimum retries allowed in ten seconds, beside one for each request.
  */
 class RelayFixture(
     limits: HttpServerLimits = HttpServerLimits(),
@@ -49,11 +50,12 @@
     forwardPort: Int? = null,
     version: Long = 1,
     private val transport: Transport = Transport(),
+    retryMinimum: Int = 100,
 ) : AutoCloseable {
     /** Limits of the present configuration. */
     @Volatile
     var presentLimits = limits
-    private val relay = Relay(RelaySettings(HOME, 1.0, 100, 10_000, forwardPort), transport, TestDialect, clock, log)
+    private val relay = Relay(RelaySettings(HOME, 1.0, retryMinimum, 10_000, forwardPort), transport, TestDialect, clock, log)
     private val server = HttpServer(transport, clock::monotonicMs, { presentLimits }, relay, log)
     private val forwardServer =
         HttpServer(transport, clock::monotonicMs, { presentLimits }, relay.forwardedHandler, log)
--- a/gentiandale-relay/src/test/kotlin/gentiandale/relay/SilentServerReturnTest.kt
+++ b/gentiandale-relay/src/test/kotlin/gentiandale/relay/SilentServerReturnTest.kt
@@ -12,7 +12,7 @@
 
 /** Streams whose silent server is kept or left, and the server that was chosen does not complete them. */
 class SilentServerReturnTest {
-    private val relay = RelayFixture()
+    private var relay = RelayFixture()
 
     @AfterEach
     fun close() = relay.close()
@@ -57,8 +57,8 @@
 
     @Nested
     inner class SecondServerRejects {
-        @Test
-        fun `a stream is not cut when the server that it was moved to answers other requests and then rejects it`() {
+        /** Streams one event and, after a silence of [SILENCE_MS] milliseconds, the others, or what is asked for again. */
+        private fun silentServer() {
             val calls = AtomicInteger()
             relay.server("d1", ServerKind.DECODE) { request, socket ->
                 if (calls.incrementAndGet() > 1) return@server resume(request, socket)
@@ -69,6 +69,10 @@
                 socket.getOutputStream().write("0\r\n\r\n".toByteArray())
                 true
             }
+        }
+
+        /** Sends events of another stream all the time, and rejects the stream after 400 ms. */
+        private fun rejectingServer() {
             relay.server("d2", ServerKind.DECODE) { request, socket ->
                 if ("other" in request.target) {
                     FakeServer.begin(socket, request)
@@ -82,6 +86,11 @@
                 FakeServer.reject(socket, request)
             }
             relay.reportPeerLoad("d2", memoryTokens = 5_000)
+        }
+
+        private fun assertNotCut() {
+            silentServer()
+            rejectingServer()
             val answer = CompletableFuture.supplyAsync { relay.get("/stream/1") }
             Thread.sleep(200)
             relay.reportPeerLoad("d1", memoryTokens = 9_000)
@@ -91,6 +100,17 @@
             assertWhole(answer.get())
             other.get()
         }
+
+        @Test
+        fun `a stream is not cut when the server that it was moved to answers other requests and then rejects it`() =
+            assertNotCut()
+
+        @Test
+        fun `a stream is not cut when the server that it was moved to rejects it and no retry is left`() {
+            relay.close()
+            relay = RelayFixture(retryMinimum = 0)
+            assertNotCut()
+        }
     }
 
     private companion object {
