Keep the silent server of a stream until another one has sent an event

Cause: 250 ms after a second server had got the stream, the first one was left if the second one had sent a byte for any request. The second one could still reject the stream, as its KV cache can't be fetched from a prefill server that is silent too. The stream then needed a third send. The retry budget of an entry VM is 2 in 10 s with 65 of them and 4 generations in that time, and the move takes both.

Ruled out: a second server that works on the stream too. It sends an event as soon as it does, so one that responds and has sent none doesn't yet. If it falls silent, the decision after the next 250 ms returns the stream to the first one.

--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/GenerationRequestHandler.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/GenerationRequestHandler.kt
@@ -245,8 +245,7 @@
 
     override fun startAttempt(generation: GenerationCall): FullHttpRequest {
         attempts++
-        val sentMs = context.nowMs()
-        if (silent != null) schedule(GenerationLimits.MAX_OVERLAP_MS) { onOverlapEnd(generation, sentMs) }
+        if (silent != null) watchOverlap(generation)
         countSend()
         stateBeforeRun = runState
         runState = RunState.MAY_HAVE_RUN
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/StreamRequestHandler.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/StreamRequestHandler.kt
@@ -54,6 +54,8 @@
 
     private fun onEventGap(send: Send, delayMs: Long, waitedMs: Long) {
         if (isOver || currentSend !== send) return
+        // The stream is at two servers already.
+        if (silent != null) return watchEvents(send, delayMs, waitedMs)
         val hasAttempt = attempts < route.maxAttempts || unheard.isNotEmpty()
         val step = silences.next(send.server, send.handler.eventCount, waitedMs, delayMs, send.isPaused, hasAttempt)
         when (step) {
@@ -82,11 +84,17 @@
         left.reservation.release()
     }
 
-    /** Leaves one of the two servers of the stream, which [generation] was sent to the second of at [sentMs]. */
-    protected fun onOverlapEnd(generation: GenerationCall, sentMs: Long) {
+    /** Decides after [GenerationLimits.MAX_OVERLAP_MS] which of the two servers of [generation] keep the stream. */
+    protected fun watchOverlap(generation: GenerationCall) {
+        val sinceMs = context.nowMs()
+        schedule(GenerationLimits.MAX_OVERLAP_MS) { onOverlap(generation, sinceMs) }
+    }
+
+    private fun onOverlap(generation: GenerationCall, sinceMs: Long) {
         val first = silent ?: return
         if (currentSend?.handler !== generation) return
-        when (val step = silences.atOverlapEnd(first.send.server, generation.server, first.sinceMs, sentMs)) {
+        when (val step = silences.atOverlap(first.send.server, generation.server, first.sinceMs, sinceMs)) {
+            is TakeoverStep.AwaitSecond -> watchOverlap(generation)
             is TakeoverStep.LeaveFirst -> {
                 // The other server responds, but may still reject the stream.
                 unheard += first.send.server.row.id
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/StreamSilences.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/StreamSilences.kt
@@ -38,11 +38,11 @@
     }
 
     /**
-     * Decides whether [first], which has been silent since [silentSinceMs], is left for [second], which has not sent an
-     * event of the stream since it got it at [sentMs].
+     * Decides about [first], which has been silent since [silentSinceMs], and [second], which has got the stream and
+     * sent no event of it. What they have sent for other requests counts from [heardSinceMs] on.
      */
-    fun atOverlapEnd(first: Backend, second: Backend, silentSinceMs: Long, sentMs: Long): TakeoverStep {
-        val isHeard = { server: Backend -> (server.lastByteMs ?: Long.MIN_VALUE) >= sentMs }
+    fun atOverlap(first: Backend, second: Backend, silentSinceMs: Long, heardSinceMs: Long): TakeoverStep {
+        val isHeard = { server: Backend -> (server.lastByteMs ?: Long.MIN_VALUE) >= heardSinceMs }
         return TakeoverPolicy.next(Takeover(context.nowMs() - silentSinceMs, isHeard(first), isHeard(second)))
     }
 
