Set the retry for a broken stream aside before its prompt is read again

Cause: the budget was checked before the prompt was read again, which takes a retry, and again before the stream was sent. With one retry left, the prefill took it. The entry VMs of the grown sites have two in ten seconds, so that the second stream that breaks there within that time was cut.

The send is now charged together with the prefill, or neither is: with one retry left the decode server reads the prompt itself. What is not sent is refunded.

Ruled out: more arrivals than the budget allows, as the charge comes earlier than the send, never later.

--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/placement/RetryBudget.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/placement/RetryBudget.kt
@@ -41,6 +41,11 @@
         return true
     }
 
+    /** Returns a retry that was charged at [chargedMs] and has not been sent. */
+    public fun refund(chargedMs: Long) {
+        retries.remove(chargedMs)
+    }
+
     private fun expire(nowMs: Long) {
         while (requests.isNotEmpty() && requests.first() <= nowMs - windowMs) requests.removeFirst()
         while (retries.isNotEmpty() && retries.first() <= nowMs - windowMs) retries.removeFirst()
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/GenerationRequestHandler.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/GenerationRequestHandler.kt
@@ -150,7 +150,7 @@
     }
 
     private fun startPrefill(server: Backend) {
-        if (prefillCount > 0 && !context.budgetOf(routed.service).tryTake(context.nowMs())) {
+        if (prefillCount > 0 && !retries.takeWithCall()) {
             prefillCount = GenerationLimits.MAX_PREFILL_CALLS
             return reservation.server?.let(::startGeneration) ?: refuseOrFail(continuity.noServer)
         }
@@ -193,7 +193,7 @@
         val mayRepeat = mayRetry() || server.row.id in unheard
         if (attempts > 0 && runState == RunState.MAY_HAVE_RUN && !mayRepeat) return fail("no retry allowed")
         if (endIfQuarantined()) return
-        if (!takeRetryBudget()) return refuseOrFail("retry budget of ${routed.service.value} exhausted")
+        if (!retries.take()) return refuseOrFail("retry budget of ${routed.service.value} exhausted")
         val source = cache
         cache = null
         val call = GenerationCall(server, source, size.prompt, stream, context, this)
@@ -246,7 +246,7 @@
     override fun startAttempt(generation: GenerationCall): FullHttpRequest {
         attempts++
         if (silent != null) watchOverlap(generation)
-        countSend()
+        retries.onSend()
         stateBeforeRun = runState
         runState = RunState.MAY_HAVE_RUN
         return buildRequest(generation.server) { headers ->
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/PlainRequestHandler.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/PlainRequestHandler.kt
@@ -52,7 +52,7 @@
     private fun place() {
         val server = context.plainPlacement.choose(allowedServers(), tried, context.nowMs()) ?: return onNoServer()
         permits.take(server)
-        if (!takeRetryBudget()) return refuseOrFail("retry budget of ${routed.service.value} exhausted")
+        if (!retries.take()) return refuseOrFail("retry budget of ${routed.service.value} exhausted")
         val isOnce = route.repetition == Repetition.AT_MOST_ONCE
         val operation = if (server.isPeer) "forward" else "run"
         val send = send(server, operation, if (isOnce) MAX_IDLE_MS else Long.MAX_VALUE, Attempt(server))
@@ -204,7 +204,7 @@
         override fun request(): FullHttpRequest {
             attempts++
             sentTo += server.row.id
-            countSend()
+            retries.onSend()
             runState = RunState.MAY_HAVE_RUN
             val sentMs = context.nowMs()
             if (silent != null) schedule(MAX_OVERLAP_MS) { onOverlapEnd(this, sentMs) }
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/RequestHandler.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/RequestHandler.kt
@@ -42,7 +42,7 @@
         private set
     protected val progress = AnswerProgress(routed.request.startMs, context.dialect.lastEventId(routed.headers))
     private var lastReason: String? = null
-    private var sends = 0
+    protected val retries = RequestRetries(context) { routed.service }
     private var deadlineTimer: ScheduledFuture<*>? = null
     private val running = ArrayList<Send>(2)
     protected val permits = PermitHold(context.nowMs)
@@ -175,6 +175,7 @@
         deadlineTimer?.cancel(false)
         running.toList().forEach { it.cancel() }
         permits.release()
+        retries.release()
         releaseResources()
         routed.request.body.release()
         val elapsedMs = context.nowMs() - routed.request.startMs
@@ -202,14 +203,6 @@
     /** Returns whether [answer], which is not a stream, can be forwarded unchanged. */
     protected fun canForward(answer: HttpResponse): Boolean = answer.isForwardable(route, context.dialect)
 
-    /** Charges a repeated send to the retry budget that all VMs share; the first send is free. */
-    protected fun takeRetryBudget(): Boolean {
-        if (sends == 0) return true
-        val allowed = context.budgetOf(routed.service).tryTake(context.nowMs())
-        context.stats.onRetry(routed.service.value, allowed)
-        return allowed
-    }
-
     /**
      * Ends the request, and returns true, if it must be kept away from servers. The VM that sends it to a server
      * decides, since it also makes the trials.
@@ -222,11 +215,6 @@
         return true
     }
 
-    /** Counts a send; those after the first are charged to the retry budget. */
-    protected fun countSend() {
-        sends++
-    }
-
     /** Builds the request to [server], with [change] applied to its headers. */
     protected fun buildRequest(server: Backend, change: (HttpHeaders) -> Unit): FullHttpRequest =
         routed.requestTo(server, leftMs().coerceAtLeast(1), context.dialect, streamToContinue, change)
--- a/gentiandale-relay/src/test/kotlin/gentiandale/relay/placement/RetryBudgetTest.kt
+++ b/gentiandale-relay/src/test/kotlin/gentiandale/relay/placement/RetryBudgetTest.kt
@@ -35,6 +35,16 @@
         assertTrue(budget.tryTake(1_000))
     }
 
+    @Test
+    fun `a retry that is not sent is available again and the others expire as before`() {
+        val budget = RetryBudget(ratio = 0.0, minimum = 5, windowMs = 1_000).also { it.vmCount = 1 }
+        listOf(0L, 100L, 200L, 300L).forEach { assertTrue(budget.tryTake(it)) }
+        budget.refund(chargedMs = 100)
+        assertEquals(1, budget.remaining(300))
+        assertEquals(2, budget.remaining(1_000))
+        assertEquals(3, budget.remaining(1_200))
+    }
+
     @Test
     fun `the minimum is divided among the VMs`() {
         val budget = RetryBudget(ratio = 0.0, minimum = 100, windowMs = 1_000)
