Learn of a crash in a test while a prefill is in progress, whatever the pauses

SilentServerMoveTest, "a verdict during a prefill leaves the request at its silent server", was listed as failed once: the other server got the request. The prefill server now answers after the verdict has been learned, so that the order is the one that the name states. What is asserted is unchanged.

--- a/gentiandale-relay/src/test/kotlin/gentiandale/relay/SilentServerMoveTest.kt
+++ b/gentiandale-relay/src/test/kotlin/gentiandale/relay/SilentServerMoveTest.kt
@@ -10,6 +10,8 @@
 import org.junit.jupiter.api.Nested
 import java.net.Socket
 import java.util.concurrent.CompletableFuture
+import java.util.concurrent.CountDownLatch
+import java.util.concurrent.TimeUnit
 import kotlin.concurrent.thread
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -279,12 +281,16 @@
                 relay.get("/stream/1", "parts: common,deadly,own\r\n")
             }
             Thread.sleep(500)
+            val hasBegun = CountDownLatch(1)
+            val isLearned = CountDownLatch(1)
             relay.prefillServer("p") { request, socket ->
-                Thread.sleep(300)
+                hasBegun.countDown()
+                isLearned.await()
                 FakeServer.reply(socket, request, "h42")
             }
-            Thread.sleep(700)
+            assertTrue(hasBegun.await(SILENCE_MS, TimeUnit.MILLISECONDS))
             learn()
+            isLearned.countDown()
             assertWhole(answer.get())
             assertEquals(0, other.requests.size)
             assertNothingLeaks()
