Don't reset the connection of a caller that reads nothing for five seconds

What callers saw: the answers to a caller that reads nothing for 5 s with its receive window full were cut: of 6,000 answers that waited, 6 arrived and the connection was reset.

Cause: the TCP user timeout of callers' connections was 5 s. It is meant for callers that no longer exist, but the system also counts the time in which a live caller acknowledges probes of its closed window.

Evidence: CallerTimeoutTest, "answers are not cut when their caller reads nothing for seconds", failed before (expected 6,000, was 6) and passes.

A caller that vanishes without closing is noticed later: its request ends at its deadline, an idle connection after the idle time, unread answers after 30 s. Ruled out: callers that leave by closing are noticed by that, as before.

--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/upstream/Transport.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/upstream/Transport.kt
@@ -57,8 +57,8 @@
         /** A sound server may stop reading a long body for a second or more. */
         const val SERVER_USER_TIMEOUT_MS = 5_000
 
-        /** Longer than for servers, since callers are further away and lose more packets. */
-        const val CALLER_USER_TIMEOUT_MS = 5_000
+        /** Also ends the connection of a caller that is there and reads nothing, once its receive window is full. */
+        const val CALLER_USER_TIMEOUT_MS = 30_000
 
         /** Idle time in seconds before the first probe and between probes; the minimum of the system is one. */
         const val KEEPALIVE_INTERVAL_S = 2
--- a/gentiandale-relay/src/test/kotlin/gentiandale/relay/CallerTimeoutTest.kt
+++ b/gentiandale-relay/src/test/kotlin/gentiandale/relay/CallerTimeoutTest.kt
@@ -63,6 +63,14 @@
             }
         }
 
+        @Test
+        fun `answers are not cut when their caller reads nothing for seconds`() {
+            requestWithoutReading().use { socket ->
+                Thread.sleep(PAUSE_MS)
+                assertAllRead(socket)
+            }
+        }
+
         @Test
         fun `an answer that a slow caller has not read in a planned stop is not cut`() {
             requestWithoutReading().use { socket ->
@@ -174,6 +182,7 @@
         const val TIMEOUT_MS = 700L
         const val NANOS_PER_MS = 1_000_000L
         const val SERVE_MS = 8_000L
+        const val PAUSE_MS = 7_000L
         const val ANSWERS = 6_000
         const val BODY_BYTES = 1_000
         const val BUFFER_BYTES = 4_096
