Let tests of the daemon listen on ports that no outgoing connection takes

Traced: the fixture asks the system for a free port, closes it, and listens on it later. The three places of the module that did this share the function.

--- a/gentiandale-daemon/src/test/kotlin/gentiandale/daemon/FleetFixture.kt
+++ b/gentiandale-daemon/src/test/kotlin/gentiandale/daemon/FleetFixture.kt
@@ -24,7 +24,6 @@
 import gentiandale.state.ReplicatedStore
 import gentiandale.wire.LinkFilter
 import kotlinx.coroutines.runBlocking
-import java.net.ServerSocket
 import kotlin.test.AfterTest
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
@@ -52,7 +51,7 @@
         limits: LimitSettings = LimitSettings(serverTimeoutMs = 600_000),
         build: (Settings) -> EntryVm = { vmOf(it) },
     ) {
-        val ports = List(2 * count) { ServerSocket(0) }.onEach { it.close() }.map { it.localPort }
+        val ports = freePorts(2 * count)
         val peers = List(count) { i ->
             PeerSettings(
                 VmId("vm-$i"),
--- a/gentiandale-daemon/src/test/kotlin/gentiandale/daemon/claim/AtMostOnceTest.kt
+++ b/gentiandale-daemon/src/test/kotlin/gentiandale/daemon/claim/AtMostOnceTest.kt
@@ -6,8 +6,8 @@
 import gentiandale.daemon.FleetFixture
 import gentiandale.daemon.ServiceFault
 import gentiandale.daemon.StoreFault
+import gentiandale.daemon.freePorts
 import org.junit.jupiter.api.Nested
-import java.net.ServerSocket
 import java.util.concurrent.CompletableFuture
 import kotlin.random.Random
 import kotlin.test.BeforeTest
@@ -118,7 +118,7 @@
 
         @Test
         fun `is the outcome if no server accepts the connection, and the key can be used again`() {
-            val port = ServerSocket(0).use { it.localPort }
+            val port = freePorts(1).single()
             announce(service.announcement.let { it.copy(facts = it.facts.copy(leaving = true)) })
             announce(FakeService.announcementOf("orders-2", port))
             assertNotRun(order(0, "k"))
--- a/gentiandale-daemon/src/test/kotlin/gentiandale/daemon/http/RecordsServiceTest.kt
+++ b/gentiandale-daemon/src/test/kotlin/gentiandale/daemon/http/RecordsServiceTest.kt
@@ -11,6 +11,7 @@
 import gentiandale.core.RegionId
 import gentiandale.core.VmId
 import gentiandale.daemon.EntryVm
+import gentiandale.daemon.freePorts
 import gentiandale.daemon.settings.PeerSettings
 import gentiandale.daemon.settings.Settings
 import kotlinx.coroutines.runBlocking
@@ -20,7 +21,6 @@
 import kotlinx.serialization.json.jsonObject
 import kotlinx.serialization.json.jsonPrimitive
 import org.junit.jupiter.api.Nested
-import java.net.ServerSocket
 import java.nio.file.Files
 import kotlin.test.AfterTest
 import kotlin.test.BeforeTest
@@ -36,7 +36,7 @@
 
     @BeforeTest
     fun start() {
-        val ports = List(6) { ServerSocket(0) }.onEach { it.close() }.map { it.localPort }
+        val ports = freePorts(6)
         peers = List(3) { i ->
             val address = "127.0.0.1:${ports[2 * i]}"
             val peer = "127.0.0.1:${ports[2 * i + 1]}"
