Name the time between two decisions about a stream that is being moved

Since two servers may have a stream for longer than 250 ms, so that MAX_OVERLAP_MS no longer said what the constant is; it is TAKEOVER_CHECK_MS. A comment at the one case in which the first server is still left said that the other one responds, which it doesn't there. No behaviour changes.

--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/GenerationLimits.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/GenerationLimits.kt
@@ -42,8 +42,8 @@
     /** A gap that makes a stream late and is longer than the retransmission of a lost packet. */
     const val EVENT_GAP_TIMEOUT_MS = 1_000L
 
-    /** Time in milliseconds after which it is decided again which of two servers keeps a stream that is being moved. */
-    const val MAX_OVERLAP_MS = 250L
+    /** Time in milliseconds between two decisions about which server keeps a stream that is being moved. */
+    const val TAKEOVER_CHECK_MS = 250L
 
     /** Time in which an engine finishes a few requests; the caller is told to retry after it. */
     const val RETRY_AFTER_MS = 1_000L
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/RequestRetries.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/RequestRetries.kt
@@ -31,7 +31,8 @@
     fun takeWithCall(): Boolean {
         val now = context.nowMs()
         val isSendDue = sends > 0 && securedMs == null
-        if (budget.remaining(now) < if (isSendDue) 2 else 1) return false
+        val due = if (isSendDue) 2 else 1
+        if (budget.remaining(now) < due) return false
         if (isSendDue && charge(now)) securedMs = now
         return charge(now)
     }
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/StreamRequestHandler.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/StreamRequestHandler.kt
@@ -84,10 +84,10 @@
         left.reservation.release()
     }
 
-    /** Decides after [GenerationLimits.MAX_OVERLAP_MS] which of the two servers of [generation] keep the stream. */
+    /** Decides after [GenerationLimits.TAKEOVER_CHECK_MS] which of the two servers of [generation] keep the stream. */
     protected fun watchOverlap(generation: GenerationCall) {
         val sinceMs = context.nowMs()
-        schedule(GenerationLimits.MAX_OVERLAP_MS) { onOverlap(generation, sinceMs) }
+        schedule(GenerationLimits.TAKEOVER_CHECK_MS) { onOverlap(generation, sinceMs) }
     }
 
     private fun onOverlap(generation: GenerationCall, sinceMs: Long) {
@@ -96,7 +96,7 @@
         when (val step = silences.atOverlap(first.send.server, generation.server, first.sinceMs, sinceMs)) {
             is TakeoverStep.AwaitSecond -> watchOverlap(generation)
             is TakeoverStep.LeaveFirst -> {
-                // The other server responds, but may still reject the stream.
+                // The other server may still reject the stream.
                 unheard += first.send.server.row.id
                 tried -= first.send.server.row.id
                 leaveSilentServer()
