--- a/review/standins-2/review2/Server.java
+++ b/review/standins-2/review2/Server.java
@@ -10,7 +10,9 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
 
 /** Stand-in of a sound server of a plain service: it sends heartbeats and answers each request after its work time. */
@@ -29,7 +31,19 @@
     volatile String state = "ready";
     private final ServerSocket listener = new ServerSocket();
 
+    /** Version of the software of this server. */
+    final String software;
+    private final int firstBeatMs;
+    private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
+
     Server(Fleet fleet, Record record, String id, int number, String service, int workMs) throws IOException {
+        this(fleet, record, id, number, service, workMs, "v1", 0);
+    }
+
+    Server(Fleet fleet, Record record, String id, int number, String service, int workMs, String software,
+        int firstBeatMs) throws IOException {
+        this.software = software;
+        this.firstBeatMs = firstBeatMs;
         this.fleet = fleet;
         this.record = record;
         this.id = id;
@@ -57,6 +71,7 @@
 
     private void beat() {
         int next = 0;
+        sleep(firstBeatMs);
         while (!isClosed) {
             List<Fleet.Vm> controls = fleet.controls;
             for (int tries = 0; tries < controls.size(); tries++) {
@@ -69,7 +84,7 @@
 
     boolean sendBeat(Fleet.Vm control) {
         String body = "{\"service\":\"" + service + "\",\"address\":\"" + ip + ":" + port + "\",\"zone\":\"" + zone
-            + "\",\"version\":\"v1\",\"slots\":64,\"state\":\"" + state + "\",\"cold_remaining_ms\":0" + extraFields()
+            + "\",\"version\":\"" + software + "\",\"slots\":64,\"state\":\"" + state + "\",\"cold_remaining_ms\":0" + extraFields()
             + ",\"born\":" + born + ",\"sequence\":" + sequence.incrementAndGet() + "}";
         Fleet.Answer answer = Fleet.call(control.ip, fleet.controlPort, "POST", "/instances/" + id + "/heartbeat",
             "Host: control\r\nContent-Type: application/json\r\n", body.getBytes(StandardCharsets.UTF_8), 1_000);
@@ -80,6 +95,7 @@
         while (!isClosed) {
             try {
                 Socket socket = listener.accept();
+                sockets.add(socket);
                 daemon(() -> serve(socket));
             } catch (IOException e) {
                 return;
@@ -128,6 +144,7 @@
     public void close() throws IOException {
         isClosed = true;
         listener.close();
+        for (Socket socket : sockets) socket.close();
     }
 
     /** One HTTP request. */
