Review: the stand-in of a model server carries orders out

Cause: it answered every order with 409, which a sound server does only while another order is in progress.

--- a/review/standins-2/review2/Engine.java
+++ b/review/standins-2/review2/Engine.java
@@ -10,7 +10,10 @@
     static final int EVENTS = 60;
     private static final int EVENT_MS = 150;
     private static final AtomicInteger handles = new AtomicInteger();
-    private final String stage;
+    private static final int SWITCH_MS = 6_000;
+    private volatile String stage;
+    private volatile boolean isBusy;
+    private final AtomicInteger orders = new AtomicInteger();
     final AtomicInteger running = new AtomicInteger();
 
     Engine(Fleet fleet, Record record, String id, int number, String stage, String software, int firstBeatMs)
@@ -21,7 +24,7 @@
 
     @Override
     String extraFields() {
-        return ",\"stage\":\"" + (id.startsWith("i-p") ? "prefill" : "decode")
+        return ",\"stage\":\"" + (stage != null ? stage : id.startsWith("i-p") ? "prefill" : "decode")
             + "\",\"models\":[{\"name\":\"m\",\"version\":1,\"adapters\":[]}]";
     }
 
@@ -32,13 +35,15 @@
         boolean asksPrefill = "prefill".equals(request.header("X-Gentiandale-Serving-Stage"));
         if (request.target.equals("/report")) {
             write(out, "200 OK", "", "{\"stage\":\"" + stage + "\",\"models\":[{\"name\":\"m\",\"version\":1,"
-                + "\"adapters\":[]}],\"busy\":false,\"sequence\":0,\"queued\":0,\"running\":" + running
+                + "\"adapters\":[]}],\"busy\":" + isBusy + ",\"sequence\":" + orders + ",\"queued\":0,\"running\":" + running
                 + ",\"kv_used\":0,\"kv_total\":75076,\"kv_handles\":0}");
         } else if (request.target.startsWith("/kv-handle/")) {
             write(out, "200 OK", "", "");
         } else if (request.target.equals("/order")) {
-            record.note("server " + id + " gets an order: " + new String(request.body, StandardCharsets.UTF_8));
-            write(out, "409 Conflict", "", "{}");
+            order(new String(request.body, StandardCharsets.UTF_8), out);
+        } else if (isBusy) {
+            write(out, "503 Service Unavailable", "X-Gentiandale-Request-Id: " + requestId
+                + "\r\nX-Gentiandale-Not-Executed: 1\r\n", "");
         } else if (expected != null && !expected.equals(id) || asksPrefill != stage.equals("prefill")) {
             write(out, "421 Misdirected Request", "X-Gentiandale-Instance-Id: " + id + "\r\n", "");
         } else if (asksPrefill) {
@@ -50,6 +55,30 @@
         }
     }
 
+    /** Carries an order out: running work ends, and the server is back in its new stage after SWITCH_MS. */
+    private synchronized void order(String body, OutputStream out) throws IOException {
+        String wanted = body.replaceAll(".*\"stage\":\"(prefill|decode)\".*", "$1");
+        boolean isStale = body.contains("\"expect\":") && !body.matches(".*\"expect\":" + orders + "[,}].*");
+        record.note("server " + id + " gets an order: " + body);
+        if (isBusy || isStale) {
+            write(out, "409 Conflict", "", "{}");
+        } else if (!wanted.equals("prefill") && !wanted.equals("decode")) {
+            write(out, "400 Bad Request", "", "{}");
+        } else if (wanted.equals(stage)) {
+            write(out, "200 OK", "", "{}");
+        } else {
+            isBusy = true;
+            orders.incrementAndGet();
+            daemon(() -> {
+                while (running.get() > 0 && !isClosed) sleep(50);
+                sleep(SWITCH_MS);
+                stage = wanted;
+                isBusy = false;
+            });
+            write(out, "202 Accepted", "", "{}");
+        }
+    }
+
     private void stream(Request request, String requestId, OutputStream out) throws IOException {
         String last = request.header("Last-Event-Id");
         int first = last == null ? 1 : Integer.parseInt(last) + 1;
