--- a/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/FleetMessage.kt
+++ b/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/FleetMessage.kt
@@ -32,7 +32,8 @@
      * @param digest digest of the sender's table of backend servers.
      * @param speeds speeds at which engines have read prompts of the sender; null if they are not part of this message.
      * @param crashDigest digest of the crashes of engines that the sender knows; 0 if there are none.
-     * @param dataCentre data centre of the sender; null if it is not part of this message.
+     * @param dataCentre data centre of the sender; null if it is not part of this message, and always if the sender
+     *   takes no forwarded requests.
      * @param number identifies the message in the answer of the leader; 0 if the sender needs no proof.
      */
     @Serializable
--- a/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/FleetSubscriber.kt
+++ b/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/FleetSubscriber.kt
@@ -123,6 +123,9 @@
     /** Lease that subscriptions renew; null if requests need none. */
     public var lease: ConfigurationLease? = null
 
+    /** Whether this VM takes requests that other entry VMs forward. */
+    public var takesForwardedRequests: Boolean = false
+
     /** Time in milliseconds since the last [FleetMessage.Notice] of a control VM; null if there was none yet. */
     public val ageMs: Long? get() = lastNoticeMs?.let { clock.monotonicMs() - it }
 
@@ -147,7 +150,7 @@
             state.digest,
             speeds = if (isFull) state.readSpeeds else null,
             crashDigest = state.crashDigest,
-            dataCentre = if (isFull) dataCentre else null,
+            dataCentre = dataCentre.takeIf { isFull && takesForwardedRequests },
             number = lease?.onSubscribe() ?: 0,
         )
         controlVms.all.forEach { sender.send(it, message) }
--- a/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/ForwardPeerIssuer.kt
+++ b/gentiandale-fleet/src/main/kotlin/gentiandale/fleet/ForwardPeerIssuer.kt
@@ -14,7 +14,7 @@
     /**
      * An entry VM that has subscribed to this control VM.
      *
-     * @param dataCentre null if the VM has not stated it, as before it can take forwarded requests.
+     * @param dataCentre null if the VM has not stated it, which it does only if it takes forwarded requests.
      * @param seenMs monotonic time in milliseconds of the last subscription.
      */
     class Subscriber(val vm: VmId, val dataCentre: DataCentreId?, val seenMs: Long)
--- a/gentiandale-fleet/src/test/kotlin/gentiandale/fleet/ForwardPeerPropagationTest.kt
+++ b/gentiandale-fleet/src/test/kotlin/gentiandale/fleet/ForwardPeerPropagationTest.kt
@@ -73,6 +73,19 @@
             assertEquals(List(5) { emptySet() }, entries.indices.map { peersOf(it) })
         }
 
+        // Guards against requests that are forwarded to a port that the VM couldn't open.
+        @Test
+        fun `are not VMs that take no forwarded requests`() {
+            entries[1] = newEntry(VmId("10.9.7.1")).also { it.subscriber.takesForwardedRequests = false }
+            advance(4_000)
+            report(0)
+            deliver()
+            assertEquals(vms(2), peersOf(0)?.minus(vms(3, 4)))
+            entries[1].subscriber.takesForwardedRequests = true
+            advance(2_500)
+            assertEquals(vms(1, 2), peersOf(0))
+        }
+
         @Test
         fun `are VMs of another data centre if the own one is cut off as a whole`() {
             report(0, 1, 2)
--- a/gentiandale-fleet/src/test/kotlin/gentiandale/fleet/VirtualFleet.kt
+++ b/gentiandale-fleet/src/test/kotlin/gentiandale/fleet/VirtualFleet.kt
@@ -40,6 +40,7 @@
         override val digest get() = table.digest()
         override var localLoad = emptyList<AssignedLoad>()
         val subscriber = FleetSubscriber(id, dataCentre, clock, sender, this, EventLog.NONE)
+            .apply { takesForwardedRequests = true }
 
         override fun applyConfiguration(document: Document, source: VmId): Boolean {
             version = document.version
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/caller/HttpServer.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/caller/HttpServer.kt
@@ -5,6 +5,8 @@
 import gentiandale.relay.routing.HttpServerLimits
 import gentiandale.relay.upstream.Transport
 import io.netty.channel.Channel
+import io.netty.channel.ChannelFuture
+import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.socket.SocketChannel
 
@@ -22,6 +24,8 @@
 ) {
     private val service = GuardedHttpServerHandler(service, log)
     private val connections = LinkedHashSet<HttpServerConnection>()
+
+    @Volatile
     private var listening: Channel? = null
     private var lastActivityMs = 0L
 
@@ -41,8 +45,26 @@
     /** Milliseconds since the last request, the last answer or the last new connection; 0 while [isBusy]. */
     internal val quietMs: Long get() = if (isBusy) 0 else nowMs() - lastActivityMs
 
-    /** Starts listening on [address] and returns the bound port. */
+    /** Whether connections are accepted. */
+    public val isListening: Boolean get() = listening?.isActive == true
+
+    /** Whether [close] has been called. */
+    @Volatile
+    public var isClosed: Boolean = false
+        private set
+
+    /**
+     * Starts listening on [address] and returns the bound port.
+     *
+     * @throws java.io.IOException if the port can't be opened.
+     */
     public fun listen(address: Address): Int {
+        val bound = bind(address).sync().channel()
+        return (bound.localAddress() as java.net.InetSocketAddress).port
+    }
+
+    /** Starts listening on [address], unless [close] is called first, and returns the result without waiting. */
+    public fun bind(address: Address): ChannelFuture {
         val bootstrap = transport.server().childHandler(object : ChannelInitializer<SocketChannel>() {
             override fun initChannel(channel: SocketChannel) {
                 val present = limits()
@@ -54,9 +76,12 @@
                 )
             }
         })
-        val bound = bootstrap.bind(address.host, address.port).sync().channel()
-        listening = bound
-        return (bound.localAddress() as java.net.InetSocketAddress).port
+        return bootstrap.bind(address.host, address.port).addListener(ChannelFutureListener(::onBound))
+    }
+
+    private fun onBound(bound: ChannelFuture) {
+        if (bound.isSuccess) listening = bound.channel()
+        if (isClosed) close()
     }
 
     /**
@@ -70,6 +95,7 @@
 
     /** Stops listening; open connections stay open. */
     public fun close() {
+        isClosed = true
         listening?.close()
     }
 
