Serve messages and forwarded requests at one port if the range of internal ports holds one

Cause: the template takes the first internal port for messages of other VMs and the last one for requests that entry VMs forward. The platform promises that the ports "from the first to the second value of internal_port_range" are free, not that the two values differ.

Change: if both settings name the same port, one listener takes both. A message begins with its length, whose first byte is a control character, so the first byte of a connection tells a message from a request. Requests are served there; other connections are passed on, bytes unchanged, to the listener for messages, at a port of the VM that the system chooses (`HttpServer.listenShared`, `ProtocolDetector`, `TcpPipe`). Nothing changes on the wire, and nothing at all with two ports.

--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/caller/HttpServer.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/caller/HttpServer.kt
@@ -8,7 +8,9 @@
 import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelInitializer
+import io.netty.channel.ChannelPipeline
 import io.netty.channel.socket.SocketChannel
+import java.net.InetSocketAddress
 
 /**
  * HTTP server for callers, backend servers, operators, metrics scrapes and readiness checks.
@@ -58,27 +60,45 @@
      *
      * @throws java.io.IOException if the port can't be opened.
      */
-    public fun listen(address: Address): Int {
-        val bound = bind(address).sync().channel()
-        return (bound.localAddress() as java.net.InetSocketAddress).port
+    public fun listen(address: Address): Int = portOf(bind(address, ::addHandlers).sync())
+
+    /**
+     * Starts listening on [address] and returns the bound port. The bytes of connections that don't begin with a
+     * request are passed on to [others], and back.
+     *
+     * @throws java.io.IOException if the port can't be opened.
+     */
+    public fun listenShared(address: Address, others: Address): Int {
+        val bound = bind(address) { pipeline ->
+            val detector = ProtocolDetector(limits().headerTimeoutMs, ::addHandlers) {
+                it.addLast(TcpPipe(transport, others))
+            }
+            pipeline.addLast(detector)
+        }
+        return portOf(bound.sync())
     }
 
     /** Starts listening on [address], unless [close] is called first, and returns the result without waiting. */
-    public fun bind(address: Address): ChannelFuture {
+    public fun bind(address: Address): ChannelFuture = bind(address, ::addHandlers)
+
+    private fun bind(address: Address, initialize: (ChannelPipeline) -> Unit): ChannelFuture {
         val bootstrap = transport.server().childHandler(object : ChannelInitializer<SocketChannel>() {
-            override fun initChannel(channel: SocketChannel) {
-                val present = limits()
-                val encoder = HttpServerResponseEncoder()
-                channel.pipeline().addLast(
-                    HttpServerRequestDecoder(present),
-                    encoder,
-                    HttpServerConnection(channel, encoder, limits, service, this@HttpServer, log),
-                )
-            }
+            override fun initChannel(channel: SocketChannel) = initialize(channel.pipeline())
         })
         return bootstrap.bind(address.host, address.port).addListener(ChannelFutureListener(::onBound))
     }
 
+    private fun addHandlers(pipeline: ChannelPipeline) {
+        val encoder = HttpServerResponseEncoder()
+        pipeline.addLast(
+            HttpServerRequestDecoder(limits()),
+            encoder,
+            HttpServerConnection(pipeline.channel(), encoder, limits, service, this, log),
+        )
+    }
+
+    private fun portOf(bound: ChannelFuture) = (bound.channel().localAddress() as InetSocketAddress).port
+
     private fun onBound(bound: ChannelFuture) {
         if (bound.isSuccess) listening = bound.channel()
         if (isClosed) close()
