Handle SIGTERM in gentiandaled before it opens its first port

Related path of the half-started entry VM: gentiandaled installed its handlers after the start, so that a signal between its first open port and that moment ended it by default, with status 143, whatever calls it had accepted meanwhile. The handlers now come first, and a signal during the start begins the graceful shutdown right after it.

Ruled out here: a daemon that can't open its HTTP or its peer port goes on half started. It ends with status 1, with and without a data folder (second test, which also passed before).

DaemonSignalsTest, "SIGTERM as soon as the first port is open ends the daemon in order", failed before: "expected: <0> but was: <143>".

--- a/gentiandale-daemon/src/main/kotlin/gentiandale/daemon/DaemonCommand.kt
+++ b/gentiandale-daemon/src/main/kotlin/gentiandale/daemon/DaemonCommand.kt
@@ -13,7 +13,6 @@
 import gentiandale.daemon.logs.setUpLogs
 import gentiandale.daemon.settings.Settings
 import gentiandale.daemon.settings.readSettings
-import kotlinx.coroutines.runBlocking
 import java.io.IOException
 
 private const val EXIT_BAD_SETTINGS = 2
@@ -42,7 +41,6 @@
         } catch (e: IOException) {
             throw CliktError(e.message)
         }
-        runBlocking { vm.start() }
         runUntilStopped(vm)
     }
 }
