Deliver the bytes of a connection that closes before its pipe is connected

Seen once in seven runs of SharedPortTest ("the end of either side ends the other": "Expected size is 5, actual size is 0"), traced: a sender that closes right after its bytes may do so before TcpPipe has connected to the listener for messages, and the bytes were dropped. Messages between VMs may be lost, so no promise was broken; now they are delivered, and the connection is closed after them.

--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/caller/TcpPipe.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/caller/TcpPipe.kt
@@ -10,7 +10,7 @@
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
 
-/** Passes the bytes of a connection on to [target] and back, until either side closes it. */
+/** Passes the bytes of a connection on to [target] and back. A side that closes it has what it sent delivered first. */
 internal class TcpPipe(private val transport: Transport, private val target: Address) :
     ChannelInboundHandlerAdapter() {
     private val unsent = ArrayDeque<ByteBuf>()
@@ -27,17 +27,17 @@
 
     private fun onConnected(incoming: Channel, connected: ChannelFuture) {
         val channel = connected.channel()
-        when {
-            !connected.isSuccess -> incoming.close()
-            !incoming.isActive -> channel.close()
-            else -> {
-                outgoing = channel
-                unsent.forEach(channel::write)
-                unsent.clear()
-                channel.flush()
-                incoming.config().isAutoRead = true
-            }
+        if (!connected.isSuccess) {
+            unsent.forEach { it.release() }
+            unsent.clear()
+            incoming.close()
+            return
         }
+        outgoing = channel
+        unsent.forEach(channel::write)
+        unsent.clear()
+        channel.flush()
+        if (incoming.isActive) incoming.config().isAutoRead = true else closeAfterWriting(channel)
     }
 
     override fun channelRead(ctx: ChannelHandlerContext, message: Any) {
@@ -49,8 +49,6 @@
     }
 
     override fun channelInactive(ctx: ChannelHandlerContext) {
-        unsent.forEach { it.release() }
-        unsent.clear()
         outgoing?.let(::closeAfterWriting)
     }
 
--- a/gentiandale-relay/src/test/kotlin/gentiandale/relay/SharedPortTest.kt
+++ b/gentiandale-relay/src/test/kotlin/gentiandale/relay/SharedPortTest.kt
@@ -36,7 +36,7 @@
     }
     private val limits = HttpServerLimits(headerTimeoutMs = HEADER_TIMEOUT_MS)
     private val server = HttpServer(transport, SystemClock::monotonicMs, { limits }, service, EventLog.NONE)
-    private val other = ServerSocket(0, 1, InetAddress.getByName(HOST))
+    private val other = ServerSocket(0, 1, InetAddress.getByName(HOST)).apply { soTimeout = READ_TIMEOUT_MS }
     private val port = server.listenShared(Address(HOST, 0), others = Address(HOST, other.localPort))
 
     @AfterEach
@@ -77,7 +77,8 @@
                 }
                 Thread.sleep(SLOW_READER_MS)
                 assertTrue(ask().endsWith("served"))
-                assertContentEquals(sent, socket.getInputStream().readNBytes(LARGE))
+                val received = socket.getInputStream().readNBytes(LARGE)
+                assertTrue(sent.contentEquals(received), "${received.size} of ${sent.size} bytes, or others")
             }
         }
 
