Let a test of the capacity queue wait for the end of its request

Traced by reading: a request is answered first and withdraws its question after that, in the same task of the event loop, so the caller may have its 503 before. The test now waits as the test beside it does, and asks for the same: the question is withdrawn, exactly once.

--- a/gentiandale-relay/src/test/kotlin/gentiandale/relay/CapacityWaitTest.kt
+++ b/gentiandale-relay/src/test/kotlin/gentiandale/relay/CapacityWaitTest.kt
@@ -225,6 +225,7 @@
             queue.next()
             relay.beginShutdown(agoMs = 0, remainingMs = 900)
             assertContains(answerOf(call), "HTTP/1.1 503")
+            settle()
             assertEquals(1, queue.cancelled.size)
         }
 
