Charge no retry for a send that has reached no server

Cause: the budget is one of arrivals at servers, but a retry was charged before the connection was there and not returned if it was refused, and each refusal of a peer took one, though the peer had sent the request nowhere. Two or three such sends used up the share of a VM.

RequestRetries counts what is written. What was charged for a send that was not written pays for the next one, and is charged anew so that it can't leave the window in between (RetryBudget.renew). A VM of an earlier build states nothing and is charged as before.

--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/Relay.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/Relay.kt
@@ -27,6 +27,7 @@
 import gentiandale.relay.caller.HttpServerReply
 import gentiandale.relay.caller.HttpServerRequest
 import gentiandale.relay.forward.ForwardedReply
+import gentiandale.relay.forward.ForwardedRefusal
 import gentiandale.relay.forward.ForwardedRequest
 import gentiandale.relay.forward.Forwarding
 import gentiandale.relay.forward.ServerMonitor
@@ -441,8 +442,11 @@
     }
 
     /** Refuses a forwarded request, so that the VM that has forwarded it may use another peer. */
-    private fun refuseForwarded(request: HttpServerRequest, reply: HttpServerReply, reason: String): (String) -> Unit =
-        refuse(request, reply, UNAVAILABLE, reason, DefaultHttpHeaders().also(dialect::stateNotExecuted))
+    private fun refuseForwarded(request: HttpServerRequest, reply: HttpServerReply, reason: String): (String) -> Unit {
+        val headers = DefaultHttpHeaders().also(dialect::stateNotExecuted)
+        ForwardedRefusal(isUnsent = true).writeTo(headers)
+        return refuse(request, reply, UNAVAILABLE, reason, headers)
+    }
 
     private fun refuse(
         request: HttpServerRequest,
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/placement/RetryBudget.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/placement/RetryBudget.kt
@@ -41,6 +41,14 @@
         return true
     }
 
+    /** Charges a retry at [nowMs] that was charged at [chargedMs] and has not been sent, or returns false. */
+    public fun renew(chargedMs: Long, nowMs: Long): Boolean {
+        expire(nowMs)
+        if (!retries.remove(chargedMs)) return tryTake(nowMs)
+        retries.addLast(nowMs)
+        return true
+    }
+
     /** Returns a retry that was charged at [chargedMs] and has not been sent. */
     public fun refund(chargedMs: Long) {
         retries.remove(chargedMs)
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/GenerationCall.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/GenerationCall.kt
@@ -38,8 +38,8 @@
         /** Called when the whole answer has been forwarded with [status]. */
         fun onCompleted(status: Int)
 
-        /** Called when the server states with [status] that it has not executed the request. */
-        fun onRejected(generation: GenerationCall, status: Int)
+        /** Called when the server states in [head] that it has not executed the request. */
+        fun onRejected(generation: GenerationCall, head: HttpResponse)
 
         /** Called when the answer with [head] is not a stream; [body] is valid only during the call. */
         fun onBadAnswer(generation: GenerationCall, head: HttpResponse, body: ByteBuf)
@@ -146,7 +146,7 @@
             return listener.onCompleted(status)
         }
         if (context.dialect.isNotExecuted(status, answer.headers())) {
-            listener.onRejected(this, status)
+            listener.onRejected(this, answer)
         } else {
             listener.onBadAnswer(this, answer, body.content)
         }
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/GenerationRequestHandler.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/GenerationRequestHandler.kt
@@ -210,7 +210,7 @@
     }
 
     private fun startPrefill(server: Backend) {
-        if (prefillCount > 0 && !retries.takeWithCall()) {
+        if (!retries.takeWithCall()) {
             prefillCount = GenerationLimits.MAX_PREFILL_CALLS
             return reservation.server?.let(::startGeneration) ?: refuseOrFail(continuity.noServer)
         }
@@ -219,7 +219,7 @@
             server,
             size.prompt,
             context,
-            { buildRequest(server, context.dialect::requestPrefill) },
+            { buildRequest(server, context.dialect::requestPrefill).also { retries.onCall() } },
             this,
         )
         val send = send(server, "prefill", Long.MAX_VALUE, prefill)
@@ -317,14 +317,8 @@
 
     override fun onEvent(generation: GenerationCall) {
         if (isAtSilentServer(generation)) returnToServer("the server goes on") else leaveSilentServer()
-        if (generation.server.isPeer) {
-            continuity.onForwardedEvent()
-        } else {
-            continuity.onEvent(
-                generation.server,
-                routed.service,
-            )
-        }
+        val server = generation.server
+        if (server.isPeer) continuity.onForwardedEvent() else continuity.onEvent(server, routed.service)
         reservation.onEvent()
         currentSend?.let { watchEvents(it, GenerationLimits.EVENT_GAP_TIMEOUT_MS, 0) }
     }
@@ -336,7 +330,8 @@
         finish("answered", status)
     }
 
-    override fun onRejected(generation: GenerationCall, status: Int) {
+    override fun onRejected(generation: GenerationCall, head: HttpResponse) {
+        val status = head.status().code()
         attempts--
         if (isAtSilentServer(generation)) {
             silent?.send?.logFailure("request not executed: status $status")
@@ -346,9 +341,10 @@
             return
         }
         runState = stateBeforeRun
-        rejections++
         currentSend?.logFailure("request not executed: status $status")
         val server = generation.server
+        onRefused(server, head.headers())
+        rejections++
         val isRejectedOften = rejections > GenerationLimits.MAX_REJECTIONS
         if (isRejectedOften) return refuseOrFail("rejected by ${server.row.id} with $status")
         server.onFull(context.nowMs())
@@ -381,9 +377,7 @@
 
     override fun onCallFailed(generation: GenerationCall, failure: SendFailure) {
         tried += generation.server.row.id
-        if (failure is SendFailure.Broken && !generation.isEstablished) {
-            crashSuspect.onBroken(generation.server)
-        }
+        if (failure is SendFailure.Broken && !generation.isEstablished) crashSuspect.onBroken(generation.server)
         if (endSilentStream(generation)) return
         when {
             failure is SendFailure.NotSent && generation.source != null -> {
@@ -396,5 +390,5 @@
     }
 
     private fun canRetry() =
-        (mayRetry() || unheard.any { it !in tried }) && context.budgetOf(routed.service).remaining(context.nowMs()) > 0
+        (mayRetry() || unheard.any { it !in tried }) && retries.isAvailable
 }
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/PlainRequestHandler.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/PlainRequestHandler.kt
@@ -177,7 +177,7 @@
     private fun onNoAnswer(send: Send) {
         val isOther = { server: Backend -> server !== send.server && server.row.id !in tried }
         if (allowedServers().none(isOther)) return send.ifUnanswered(PermitWait.RECHECK_MS) { onNoAnswer(send) }
-        if (!mayRetry() || context.budgetOf(routed.service).remaining(context.nowMs()) <= 0) return
+        if (!mayRetry() || !retries.isAvailable) return
         tried += send.server.row.id
         if (send.isSent) {
             send.onSilence()
@@ -266,7 +266,7 @@
                 routed.reply.end()
                 return finish("answered", status)
             }
-            if (context.dialect.isNotExecuted(status, answer.headers())) return onRejected(status)
+            if (context.dialect.isNotExecuted(status, answer.headers())) return onRejected(answer)
             crashSuspect.onAnswered(server)
             when {
                 !isSuccess() && goesOnElsewhere("unusable answer: status $status") -> Unit
@@ -311,7 +311,8 @@
         }
 
         /** Handles the statement of the server that it has not executed the request. */
-        private fun onRejected(status: Int) {
+        private fun onRejected(answer: HttpResponse) {
+            val status = answer.status().code()
             body.release()
             attempts--
             if (isAtSilentServer) {
@@ -320,9 +321,10 @@
             }
             runState = stateBeforeSend
             tried += server.row.id
+            currentSend?.logFailure("request not executed: status $status")
+            onRefused(server, answer.headers())
             fullServers += server.row.id
             server.onFull(context.nowMs())
-            currentSend?.logFailure("request not executed: status $status")
             afterRejection(server, status)
         }
 
@@ -345,9 +347,8 @@
 
         private fun retryOr(otherwise: () -> Unit) {
             val another = path() is ForwardPath.AwaitPeers || candidates().any { it.row.id !in tried }
-            val budget = context.budgetOf(routed.service).remaining(context.nowMs()) > 0
-            val useful = another && budget && leftMs() > MIN_RETRY_TIME_MS
-            if (useful && mayRetry()) dispatch() else otherwise()
+            val useful = another && retries.isAvailable && leftMs() > MIN_RETRY_TIME_MS && mayRetry()
+            if (useful) dispatch() else otherwise()
         }
 
         /** Whether the answer ends the request: a success, or a server error that must not be retried. */
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/RequestHandler.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/RequestHandler.kt
@@ -7,6 +7,7 @@
 import gentiandale.relay.RelayEvent
 import gentiandale.relay.backend.Backend
 import gentiandale.relay.forward.ForwardPath
+import gentiandale.relay.forward.ForwardedRefusal
 import gentiandale.relay.quota.QuotaStep
 import gentiandale.relay.routing.AccessVerdict
 import gentiandale.relay.routing.KeyRefusal
@@ -137,6 +138,13 @@
         guard.execute { if (!isOver) dispatch() }
     }
 
+    /** Returns what [server], which has not executed the request, states about it in [headers], or null if no peer. */
+    protected fun onRefused(server: Backend, headers: HttpHeaders): ForwardedRefusal? {
+        val refusal = if (server.isPeer) ForwardedRefusal.read(headers) else return null
+        if (refusal.isUnsent) retries.onUnsent()
+        return refusal
+    }
+
     /** Returns the time in milliseconds until the deadline. */
     protected fun leftMs(): Long = routed.deadlineMs - context.nowMs()
 
@@ -168,7 +176,10 @@
         val headers = DefaultHttpHeaders()
         val jitter = if (isExact) 0 else context.random.nextLong(retryAfterMs / 2 + 1)
         headers.set(HttpHeaderNames.RETRY_AFTER, seconds(retryAfterMs + jitter))
-        if (routed.forwarded != null) context.dialect.stateNotExecuted(headers)
+        if (routed.forwarded != null) {
+            context.dialect.stateNotExecuted(headers)
+            ForwardedRefusal(isUnsent = !retries.hasSent).writeTo(headers)
+        }
         isOver = true
         routed.reply.answer(UNAVAILABLE, headers, Unpooled.EMPTY_BUFFER)
         complete("refused", UNAVAILABLE, reason)
--- a/gentiandale-relay/src/test/kotlin/gentiandale/relay/placement/RetryBudgetTest.kt
+++ b/gentiandale-relay/src/test/kotlin/gentiandale/relay/placement/RetryBudgetTest.kt
@@ -51,4 +51,21 @@
         budget.vmCount = 65
         assertEquals(1, budget.remaining(0))
     }
+
+    @Test
+    fun `a retry that is renewed counts from then on, and only once`() {
+        val budget = RetryBudget(ratio = 0.0, minimum = 5, windowMs = 1_000).also { it.vmCount = 1 }
+        repeat(4) { assertTrue(budget.tryTake(it.toLong())) }
+        assertTrue(budget.renew(0, 900))
+        assertEquals(0, budget.remaining(900))
+        assertEquals(3, budget.remaining(1_500))
+    }
+
+    @Test
+    fun `a retry that has left the window is charged anew, if the budget allows it`() {
+        val budget = RetryBudget(ratio = 0.0, minimum = 2, windowMs = 1_000).also { it.vmCount = 1 }
+        assertTrue(budget.tryTake(0))
+        assertTrue(budget.tryTake(1_500))
+        assertFalse(budget.renew(0, 1_600))
+    }
 }
