Pass over peers that have lost the servers too, and ask for others

Requests that had not begun were refused.

Cause: peers are named before they have noticed that they lost the servers in the same moment. The stream asked the two peers of its list five times within 120 ms, the limit of rejections; the next list would have come with the next report, up to 0.5 s later.

A peer that refuses now states that it reaches no server. The VM passes it over for 150 ms, the time for which names are awaited already, and reports its loss again once that holds for all peers of the list, which brings a new one; the peer has reported its own loss before it refuses. A request asks each peer once. If no VM reaches the service, the new list is empty and requests are refused at once.

--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/Relay.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/Relay.kt
@@ -444,7 +444,7 @@
     /** Refuses a forwarded request, so that the VM that has forwarded it may use another peer. */
     private fun refuseForwarded(request: HttpServerRequest, reply: HttpServerReply, reason: String): (String) -> Unit {
         val headers = DefaultHttpHeaders().also(dialect::stateNotExecuted)
-        ForwardedRefusal(isUnsent = true).writeTo(headers)
+        ForwardedRefusal(isUnsent = true, isUnreached = false).writeTo(headers)
         return refuse(request, reply, UNAVAILABLE, reason, headers)
     }
 
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/forward/ForwardPolicy.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/forward/ForwardPolicy.kt
@@ -1,5 +1,6 @@
 package gentiandale.relay.forward
 
+import gentiandale.core.ServerId
 import gentiandale.relay.backend.Backend
 
 /** Where a request goes on from the VM that has it. */
@@ -29,12 +30,24 @@
      * @param isForwarded whether another entry VM has forwarded the request, which is done only once.
      * @param peers entry VMs that reach the service, or null if no control VM has named them yet.
      * @param askedMs time in milliseconds since the control VMs were asked for them.
+     * @param unreachedMs time in milliseconds since peers have said that they reach no server either. For a moment,
+     * other names are awaited instead.
      */
-    fun next(isReached: Boolean, isForwarded: Boolean, peers: List<Backend>?, askedMs: Long): ForwardPath = when {
-        isReached -> ForwardPath.Direct
-        isForwarded -> ForwardPath.Nowhere("no server reached from this VM either")
-        peers == null && askedMs < MAX_WAIT_MS -> ForwardPath.AwaitPeers
-        peers.isNullOrEmpty() -> ForwardPath.Nowhere("no server reached, and no other VM that reaches one")
-        else -> ForwardPath.ByPeer(peers)
+    fun next(
+        isReached: Boolean,
+        isForwarded: Boolean,
+        peers: List<Backend>?,
+        askedMs: Long,
+        unreachedMs: Map<ServerId, Long> = emptyMap(),
+    ): ForwardPath {
+        val usable = peers?.filterNot { peer -> unreachedMs[peer.row.id]?.let { it < MAX_WAIT_MS } ?: false }
+        return when {
+            isReached -> ForwardPath.Direct
+            isForwarded -> ForwardPath.Nowhere("no server reached from this VM either")
+            peers == null && askedMs < MAX_WAIT_MS -> ForwardPath.AwaitPeers
+            peers.isNullOrEmpty() -> ForwardPath.Nowhere("no server reached, and no other VM that reaches one")
+            usable.isNullOrEmpty() -> ForwardPath.AwaitPeers
+            else -> ForwardPath.ByPeer(usable)
+        }
     }
 }
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/forward/Forwarding.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/forward/Forwarding.kt
@@ -27,9 +27,12 @@
     private val backends = HashMap<VmId, Backend>()
     private val named = HashMap<ServiceName, List<Backend>>()
     private val lostMs = HashMap<ServiceName, Long>()
+
+    /** Monotonic times in milliseconds at which peers have said that they don't reach a service either. */
+    private val unreachedMs = HashMap<ServiceName, HashMap<ServerId, Long>>()
     private val waiting = HashMap<ServiceName, ArrayList<() -> Unit>>()
 
-    /** Called after a service was lost or is reached again. */
+    /** Called after a service was lost or is reached again, or when all peers for it have turned out not to reach it. */
     var onChange: () -> Unit = {}
 
     init {
@@ -41,6 +44,7 @@
 
     private fun onReachChanged(service: ServiceName) {
         named -= service
+        unreachedMs -= service
         if (monitor.isReached(service)) lostMs -= service else lostMs[service] = nowMs()
         onChange()
     }
@@ -48,8 +52,20 @@
     /** Returns where a request for [service] goes on; [isForwarded] if another entry VM has forwarded it. */
     fun path(service: ServiceName, isForwarded: Boolean): ForwardPath {
         val isReached = port == null || monitor.isReached(service)
-        val askedMs = lostMs[service]?.let { nowMs() - it } ?: Long.MAX_VALUE
-        return ForwardPolicy.next(isReached, isForwarded, named[service], askedMs)
+        val now = nowMs()
+        val askedMs = lostMs[service]?.let { now - it } ?: Long.MAX_VALUE
+        val unreached = unreachedMs[service].orEmpty().mapValues { (_, atMs) -> now - atMs }
+        return ForwardPolicy.next(isReached, isForwarded, named[service], askedMs, unreached)
+    }
+
+    /**
+     * Records that [peer] doesn't reach [service] either; it was named before it had reported that. Once this holds for
+     * all, others are asked for.
+     */
+    fun onUnreached(service: ServiceName, peer: Backend) {
+        if (monitor.isReached(service)) return
+        unreachedMs.getOrPut(service) { HashMap() }[peer.row.id] = nowMs()
+        if (path(service, isForwarded = false) is ForwardPath.AwaitPeers) onChange()
     }
 
     /** Calls [action] when the peers for [service] have been named, or after [ForwardPolicy.MAX_WAIT_MS]. */
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/GenerationRequestHandler.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/GenerationRequestHandler.kt
@@ -343,7 +343,10 @@
         runState = stateBeforeRun
         currentSend?.logFailure("request not executed: status $status")
         val server = generation.server
-        onRefused(server, head.headers())
+        if (onRefused(server, head.headers())?.isUnreached == true) {
+            tried += server.row.id
+            return restart()
+        }
         rejections++
         val isRejectedOften = rejections > GenerationLimits.MAX_REJECTIONS
         if (isRejectedOften) return refuseOrFail("rejected by ${server.row.id} with $status")
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/PlainRequestHandler.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/PlainRequestHandler.kt
@@ -322,7 +322,7 @@
             runState = stateBeforeSend
             tried += server.row.id
             currentSend?.logFailure("request not executed: status $status")
-            onRefused(server, answer.headers())
+            if (onRefused(server, answer.headers())?.isUnreached == true) return dispatch()
             fullServers += server.row.id
             server.onFull(context.nowMs())
             afterRejection(server, status)
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/RequestHandler.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/RequestHandler.kt
@@ -142,6 +142,7 @@
     protected fun onRefused(server: Backend, headers: HttpHeaders): ForwardedRefusal? {
         val refusal = if (server.isPeer) ForwardedRefusal.read(headers) else return null
         if (refusal.isUnsent) retries.onUnsent()
+        if (refusal.isUnreached) context.forwarding.onUnreached(routed.service, server)
         return refusal
     }
 
@@ -178,7 +179,7 @@
         headers.set(HttpHeaderNames.RETRY_AFTER, seconds(retryAfterMs + jitter))
         if (routed.forwarded != null) {
             context.dialect.stateNotExecuted(headers)
-            ForwardedRefusal(isUnsent = !retries.hasSent).writeTo(headers)
+            ForwardedRefusal(isUnsent = !retries.hasSent, isUnreached = path() is ForwardPath.Nowhere).writeTo(headers)
         }
         isOver = true
         routed.reply.answer(UNAVAILABLE, headers, Unpooled.EMPTY_BUFFER)
--- a/gentiandale-relay/src/test/kotlin/gentiandale/relay/forward/ForwardPolicyTest.kt
+++ b/gentiandale-relay/src/test/kotlin/gentiandale/relay/forward/ForwardPolicyTest.kt
@@ -1,5 +1,6 @@
 package gentiandale.relay.forward
 
+import gentiandale.core.ServerId
 import gentiandale.relay.backend.Backend
 import gentiandale.relay.rowOf
 import org.junit.jupiter.api.Nested
@@ -15,7 +16,11 @@
         isForwarded: Boolean = false,
         peers: List<Backend>? = this.peers,
         askedMs: Long = 0,
-    ) = ForwardPolicy.next(isReached, isForwarded, peers, askedMs)
+        unreachedMs: Long? = null,
+    ): ForwardPath {
+        val unreached = unreachedMs?.let { mapOf(ServerId("vm") to it) }.orEmpty()
+        return ForwardPolicy.next(isReached, isForwarded, peers, askedMs, unreached)
+    }
 
     @Nested
     inner class Reached {
@@ -46,6 +51,16 @@
             assertIs<ForwardPath.Nowhere>(next(peers = null, askedMs = ForwardPolicy.MAX_WAIT_MS))
         }
 
+        // Guards against requests that ask the same peers again and again, which have lost the servers too.
+        @Test
+        fun `requests pass over a peer for a moment that reaches no server either`() {
+            val other = Backend(rowOf("other"), isPeer = true)
+            assertEquals(ForwardPath.ByPeer(listOf(other)), next(peers = peers + other, unreachedMs = 0))
+            val last = ForwardPolicy.MAX_WAIT_MS - 1
+            assertEquals(ForwardPath.AwaitPeers, next(askedMs = 1_000, unreachedMs = last))
+            assertEquals(ForwardPath.ByPeer(peers), next(askedMs = 1_000, unreachedMs = last + 1))
+        }
+
         @Test
         fun `requests are refused at once if no VM reaches a server`() {
             assertIs<ForwardPath.Nowhere>(next(peers = emptyList()))
--- a/gentiandale-relay/src/test/kotlin/gentiandale/relay/forward/ForwardedRefusalTest.kt
+++ b/gentiandale-relay/src/test/kotlin/gentiandale/relay/forward/ForwardedRefusalTest.kt
@@ -9,7 +9,8 @@
 
     @Test
     fun `what one VM writes another one reads`() {
-        for (refusal in listOf(false, true).map(::ForwardedRefusal)) {
+        val flags = listOf(false, true)
+        for (refusal in flags.flatMap { unsent -> flags.map { ForwardedRefusal(unsent, it) } }) {
             headers.clear()
             refusal.writeTo(headers)
             assertEquals(refusal, ForwardedRefusal.read(headers))
@@ -19,8 +20,8 @@
     // Guards against retries that are taken back though a VM of the previous build has sent the request to a server.
     @Test
     fun `a refusal of the previous build, or with other words, states nothing`() {
-        assertEquals(ForwardedRefusal(isUnsent = false), ForwardedRefusal.read(headers))
+        assertEquals(ForwardedRefusal(isUnsent = false, isUnreached = false), ForwardedRefusal.read(headers))
         headers.set("Gentiandale-Refusal", "unsen,%%, unreached")
-        assertEquals(ForwardedRefusal(isUnsent = false), ForwardedRefusal.read(headers))
+        assertEquals(ForwardedRefusal(isUnsent = false, isUnreached = false), ForwardedRefusal.read(headers))
     }
 }
