Check the path to a service before its last stream is cut

Cause: a service counts as lost when connections to three of its servers have failed; a stream has no use for prefill servers or other versions, and had run through its two or three before.

A request that ran out of servers after a send that could not be written now has the VM open connections to three servers of the service, and is placed again: by a peer if the service turns out to be lost, else it ends as before, some milliseconds later. Each failed send allows one check.

StalePeersTest.FewServers failed without the check.

--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/GenerationRequestHandler.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/GenerationRequestHandler.kt
@@ -163,7 +163,7 @@
     private fun placeAtServer(grant: CapacityStep.Send?): Boolean {
         when (val plan = plan(grant)) {
             is GenerationPlan.NoCapacity -> return awaitsGrant(hasCapacity = false)
-            is GenerationPlan.NoServer -> refuseOrFail(continuity.noServer)
+            is GenerationPlan.NoServer -> onNoServer()
             is GenerationPlan.Placement -> {
                 permits.take(plan.decode)
                 plan.prefill?.let(permits::take)
@@ -204,6 +204,8 @@
         context.loop.execute(context.queue::admit)
     }
 
+    private fun onNoServer() = if (checksReach()) Unit else refuseOrFail(continuity.noServer)
+
     private fun refuseOrFail(reason: String) {
         val retryMs = context.restLeftMs(routed.service) ?: GenerationLimits.RETRY_AFTER_MS
         if (runState == RunState.NOT_RUN && !stream.hasBegun) refuse(reason, retryMs) else fail(reason)
@@ -280,7 +282,7 @@
 
     override fun onPrefillFailed(server: Backend, failure: SendFailure) {
         if (failure is SendFailure.Broken) crashSuspect.onBroken(server)
-        tried += server.row.id
+        onSendFailed(server, failure)
         restart()
     }
 
@@ -291,7 +293,7 @@
             cache = null
             return restart()
         }
-        val server = preferred ?: chooseDecode(tried) ?: return refuseOrFail(continuity.noServer)
+        val server = preferred ?: chooseDecode(tried) ?: return onNoServer()
         if (server !== reservation.server) {
             reservation.reserve(server)
             permits.take(server)
@@ -379,7 +381,7 @@
     }
 
     override fun onCallFailed(generation: GenerationCall, failure: SendFailure) {
-        tried += generation.server.row.id
+        onSendFailed(generation.server, failure)
         if (failure is SendFailure.Broken && !generation.isEstablished) crashSuspect.onBroken(generation.server)
         if (endSilentStream(generation)) return
         when {
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/StreamRequestHandler.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/StreamRequestHandler.kt
@@ -1,9 +1,12 @@
 package gentiandale.relay.request
 
 import gentiandale.core.ServerId
+import gentiandale.relay.backend.Backend
+import gentiandale.relay.forward.ForwardPath
 import gentiandale.relay.placement.SilenceStep
 import gentiandale.relay.placement.TakeoverStep
 import gentiandale.relay.routing.Repetition
+import gentiandale.relay.upstream.SendFailure
 import io.netty.util.concurrent.ScheduledFuture
 
 /** Keeps the event stream of one request at its server, or moves it to another one if that server falls silent. */
@@ -19,6 +22,7 @@
     /** Servers that were left without an event of theirs; the route allows that they are asked again. */
     protected val unheard = HashSet<ServerId>()
     private val silences = StreamSilences(routed, context)
+    private var hasUnsent = false
 
     protected class SilentStream(val send: Send, val reservation: MemoryReservation, val sinceMs: Long)
 
@@ -34,6 +38,23 @@
     /** Releases the reservation and places the request again. */
     protected abstract fun restart()
 
+    /** Passes [server] over from now on, whose send has ended with [failure]. */
+    protected fun onSendFailed(server: Backend, failure: SendFailure) {
+        tried += server.row.id
+        if (failure is SendFailure.NotSent) hasUnsent = true
+    }
+
+    /**
+     * Checks whether this VM still reaches the service, if a send could not be written, and returns whether it does so.
+     * The request, which no server is left for, is placed again then: a peer may reach one.
+     */
+    protected fun checksReach(): Boolean {
+        if (!hasUnsent || path() !is ForwardPath.Direct) return false
+        hasUnsent = false
+        context.monitor.confirmReach(routed.service, emptySet()) { guard.execute { if (!isOver) dispatch() } }
+        return true
+    }
+
     /** Stops waiting for the next event. */
     protected fun stopWatching() {
         gapTimer?.cancel(false)
--- a/gentiandale-relay/src/test/kotlin/gentiandale/relay/forward/StalePeersTest.kt
+++ b/gentiandale-relay/src/test/kotlin/gentiandale/relay/forward/StalePeersTest.kt
@@ -82,10 +82,36 @@
         }
     }
 
+    @Nested
+    inner class FewServers {
+        // Guards against streams that are cut since all their servers have failed before the service counts as lost.
+        @Test
+        fun `a begun stream goes on at a peer though only two servers have refused a connection`() {
+            lateinit var first: FakeServer
+            first = cut.server("d1", ServerKind.DECODE) { request, socket ->
+                FakeServer.begin(socket, request)
+                FakeServer.chunk(socket, FakeServer.event(1))
+                // The request is no longer suspected of crashes, whose check would notice the loss of the servers too.
+                Thread.sleep(ESTABLISHED_MS)
+                FakeServer.chunk(socket, FakeServer.event(2))
+                first.close()
+                false
+            }
+            refuse(cut, ServerKind.DECODE, "d2", "d3")
+            listOf("d2", "d3").forEach { cut.reportPeerLoad(it, memoryTokens = 5_000) }
+            refuse(cut, ServerKind.PREFILL, "p1", "p2")
+            listOf("p1", "p2").forEach { cut.reportPeerPrompts(it, promptTokens = 1_000_000) }
+            cut.onLost = { if (it.isNotEmpty()) cut.namePeers(OTHER_VM) }
+            other.server("d1", ServerKind.DECODE) { request, socket -> FakeServer.stream(socket, request, 3..3) }
+            assertWhole(cut.get("/stream/1"))
+        }
+    }
+
     private companion object {
         const val CUT_VM = "127.0.1.51"
         const val PEER_VM = "127.0.1.52"
         const val OTHER_VM = "127.0.1.53"
         const val NAMED_MS = 60L
+        const val ESTABLISHED_MS = 350L
     }
 }
