Daemon: don't take the part of a response for the whole when the loop is late

What callers saw: none, found by tests.

Cause, traced with a stalled event loop, twofold. The filter that drops the end of a response which began before its request was written had the same gap as the relay: an event loop that is late writes the rest of the request before it reads what had arrived earlier. And the engine client didn't use that filter at all, nor the bound on unsent bytes: a response without a length to a call of 100,000 bytes was whole whatever became of its connection, a reset included; only calls that don't fit into the buffers of the system failed, if the loop was in time.

The filter counts a request as written at the end of the pass of the event loop, and both clients use it and the bound; it moves to gentiandale.daemon.http.

New tests stall the event loops of the clients: "to a shorter call is a failure though the event loop was busy when it came" (engine) failed before in all ends without a length, "a part of a response is unknown though ..." (claim) in two.

--- a/gentiandale-daemon/src/main/kotlin/gentiandale/daemon/claim/PlainSender.kt
+++ b/gentiandale-daemon/src/main/kotlin/gentiandale/daemon/claim/PlainSender.kt
@@ -9,6 +9,7 @@
 import com.linecorp.armeria.common.HttpRequest
 import com.linecorp.armeria.common.RequestHeaders
 import gentiandale.core.Address
+import gentiandale.daemon.http.ResetFilter
 import gentiandale.daemon.http.StatusLineFilter
 import io.netty.channel.epoll.EpollChannelOption
 import kotlinx.coroutines.CancellationException
@@ -44,7 +45,7 @@
     private val factory = ClientFactory.builder()
         .connectTimeout(Duration.ofMillis(CONNECT_TIMEOUT_MS))
         .maxNumRequestsPerConnection(1)
-        .channelOption(EpollChannelOption.TCP_NOTSENT_LOWAT, MAX_UNSENT_BYTES)
+        .channelOption(EpollChannelOption.TCP_NOTSENT_LOWAT, ResetFilter.MAX_UNSENT_BYTES)
         .build()
     private val client = WebClient.builder()
         .factory(factory)
@@ -125,11 +126,6 @@
     private companion object {
         const val CONNECT_TIMEOUT_MS = 1_000L
 
-        /**
-         * Bounds what the system accepts of a call before it can be sent. By default that is over 2 MiB, so that a call
-         * counted as written while its server had read almost nothing.
-         */
-        const val MAX_UNSENT_BYTES = 65_536L
         const val MAX_RESPONSE_BYTES = 16L * 1_048_576
         const val DOUBLED = "response without a length was followed by a second response"
         const val CUT = "response without a length ended as its server refused connections"
--- a/gentiandale-daemon/src/main/kotlin/gentiandale/daemon/engine/EngineClient.kt
+++ b/gentiandale-daemon/src/main/kotlin/gentiandale/daemon/engine/EngineClient.kt
@@ -20,7 +20,9 @@
 import gentiandale.core.engine.PrefillReply
 import gentiandale.core.engine.PrefillRequest
 import gentiandale.daemon.http.HttpJson
+import gentiandale.daemon.http.ResetFilter
 import gentiandale.daemon.http.StatusLineFilter
+import io.netty.channel.epoll.EpollChannelOption
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.flow.Flow
 import kotlinx.coroutines.flow.flow
@@ -34,12 +36,16 @@
 
 /** Calls model engines over HTTP. */
 public class EngineClient : AutoCloseable {
-    private val factory = ClientFactory.builder().connectTimeout(Duration.ofMillis(CONNECT_TIMEOUT_MS)).build()
+    private val factory = ClientFactory.builder()
+        .connectTimeout(Duration.ofMillis(CONNECT_TIMEOUT_MS))
+        .channelOption(EpollChannelOption.TCP_NOTSENT_LOWAT, ResetFilter.MAX_UNSENT_BYTES)
+        .build()
     private val client = WebClient.builder()
         .factory(factory)
         .maxResponseLength(0)
         .responseTimeoutMillis(0)
         .decorator(SINGLE_USE_HTTP1)
+        .decorator(ResetFilter.DECORATOR)
         .decorator(StatusLineFilter.DECORATOR)
         .build()
 
--- a/gentiandale-daemon/src/main/kotlin/gentiandale/daemon/claim/ResetFilter.kt
+++ b/gentiandale-daemon/src/main/kotlin/gentiandale/daemon/http/ResetFilter.kt
@@ -1,4 +1,4 @@
-package gentiandale.daemon.claim
+package gentiandale.daemon.http
 
 import com.linecorp.armeria.client.DecoratingHttpClientFunction
 import com.linecorp.armeria.common.logging.RequestLogProperty
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelDuplexHandler
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelPromise
+import io.netty.channel.SingleThreadEventLoop
 import io.netty.handler.codec.http.HttpClientCodec
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpResponse
@@ -31,10 +32,16 @@
     override fun write(ctx: ChannelHandlerContext, message: Any, promise: ChannelPromise) {
         val last = promise.unvoid()
         if (message is HttpRequest) isRequestWritten = false
-        if (message is LastHttpContent) last.addListener { if (it.isSuccess) isRequestWritten = true }
+        if (message is LastHttpContent) last.addListener { if (it.isSuccess) onWritten(ctx.channel()) }
         ctx.write(message, last)
     }
 
+    private fun onWritten(channel: Channel) {
+        // An event loop that is late writes to a socket before it reads what had arrived there earlier.
+        val loop = channel.eventLoop() as SingleThreadEventLoop
+        loop.executeAfterEventLoopIteration { isRequestWritten = true }
+    }
+
     override fun exceptionCaught(ctx: ChannelHandlerContext, cause: Throwable) {
         if (cause is IOException) isReset = true
         ctx.fireExceptionCaught(cause)
@@ -56,6 +63,11 @@
 
     companion object {
         private val WITHOUT_BODY = setOf(HttpResponseStatus.NO_CONTENT, HttpResponseStatus.NOT_MODIFIED)
+        /**
+         * Bounds what the system accepts of a call before it can be sent. By default that is over 2 MiB, so that a call
+         * counted as written while its server had read almost nothing.
+         */
+        const val MAX_UNSENT_BYTES = 65_536L
         private val UNFRAMED = AttributeKey.valueOf<Boolean>(ResetFilter::class.java, "unframed")
 
         /** Returns whether only the end of [channel] marks the end of its last response. */
--- a/gentiandale-daemon/src/test/kotlin/gentiandale/daemon/RawServer.kt
+++ b/gentiandale-daemon/src/test/kotlin/gentiandale/daemon/RawServer.kt
@@ -1,5 +1,6 @@
 package gentiandale.daemon
 
+import com.linecorp.armeria.common.CommonPools
 import gentiandale.core.Address
 import java.net.InetAddress
 import java.net.InetSocketAddress
@@ -10,9 +11,13 @@
 
 /**
  * HTTP/1.1 server on raw sockets that writes [answer] as soon as it has the head of a call, and ends the connection by
- * [end]. Its buffers are small, so that a long body is still being written to it by then.
+ * [end]. Its buffers are small, so that a long body is still being written to it by then. It calls [before] first.
  */
-class RawServer(private val answer: String, private val end: (Socket) -> Unit = {}) : AutoCloseable {
+class RawServer(
+    private val answer: String,
+    private val before: () -> Unit = {},
+    private val end: (Socket) -> Unit = {},
+) : AutoCloseable {
     private val listening = ServerSocket().apply {
         receiveBufferSize = BUFFER_BYTES
         bind(InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0))
@@ -42,6 +47,7 @@
         }
         if (head.startsWith(HTTP2_PREFACE)) return socket.getOutputStream().write(UNSUPPORTED.toByteArray())
         calls.incrementAndGet()
+        before()
         socket.getOutputStream().write(answer.toByteArray())
         end(socket)
     }
@@ -76,6 +82,15 @@
             },
         )
 
+        /** Fit into the buffers of both sides, but not into those of a server that doesn't read. */
+        val SHORTER_BYTES = listOf(100_000, 150_000)
+
+        /** Longer than a server takes to answer and to read what has been sent to it. */
+        private const val STALL_MS = 50L
+
+        /** Keeps the event loops of all clients busy for a while. */
+        fun stallClients() = CommonPools.workerGroup().forEach { it.execute { Thread.sleep(STALL_MS) } }
+
         /** Heads of a success, by how they state the end of its body, and what precedes a part of that. */
         val HEADS: Map<String, String> = mapOf(
             "no length" to "HTTP/1.1 200 OK\r\n\r\n",
@@ -88,9 +103,14 @@
         val BAD_STATUSES = "000 099 600 999 20 2 +200 +20 -200 0200 00200 2000 20x OK 0x1".split(' ') + ""
 
         /** Returns the cases of [HEADS] and [ENDS] with [part] for which [run] does not return [expected]. */
-        fun <T> cut(part: String, expected: T, run: (RawServer) -> T): Map<String, T> =
+        fun <T> cut(
+            part: String,
+            expected: T,
+            before: () -> Unit = {},
+            run: (RawServer) -> T,
+        ): Map<String, T> =
             HEADS.flatMap { (head, text) ->
-                ENDS.map { (name, end) -> "$head, $name" to RawServer(text + part, end).use(run) }
+                ENDS.map { (name, end) -> "$head, $name" to RawServer(text + part, before, end).use(run) }
             }.toMap().filterValues { it != expected }
 
         /** Returns the bad statuses of answers with [body] for which [run] does not return [expected]. */
--- a/gentiandale-daemon/src/test/kotlin/gentiandale/daemon/claim/UploadResponseTest.kt
+++ b/gentiandale-daemon/src/test/kotlin/gentiandale/daemon/claim/UploadResponseTest.kt
@@ -39,6 +39,15 @@
     fun `a part of a response to a shorter upload is unknown`() =
         assertEquals(emptyMap(), RawServer.cut("part", UNKNOWN to 1) { send(it, SHORTER_BYTES) })
 
+    // Guards against a body that counts as written before the answer, as a late event loop writes before it reads.
+    @Test
+    fun `a part of a response is unknown though the event loop was busy when it came`() {
+        for (bytes in RawServer.SHORTER_BYTES) {
+            val outcomes = RawServer.cut("part", UNKNOWN to 1, RawServer::stallClients) { send(it, bytes) }
+            assertEquals(emptyMap(), outcomes, "$bytes bytes")
+        }
+    }
+
     @Test
     fun `a status that is none is unknown`() =
         assertEquals(emptyMap(), RawServer.badStatus("body", UNKNOWN to 1) { send(it, bytes = 1) })
--- a/gentiandale-daemon/src/test/kotlin/gentiandale/daemon/engine/UploadResponseTest.kt
+++ b/gentiandale-daemon/src/test/kotlin/gentiandale/daemon/engine/UploadResponseTest.kt
@@ -84,6 +84,16 @@
         @Test
         fun `to a decode is a failure`() =
             assertEquals(emptyMap(), RawServer.cut(EVENT, FAILED) { decode(it, RawServer.UPLOAD_BYTES) })
+
+        // Guards against a body that counts as written before the answer, as a late event loop writes before it reads.
+        @Test
+        fun `to a shorter call is a failure though the event loop was busy when it came`() {
+            for (bytes in RawServer.SHORTER_BYTES) {
+                val prefills = RawServer.cut(PREFILLED, FAILED, RawServer::stallClients) { prefill(it, bytes) }
+                val decodes = RawServer.cut(EVENT, FAILED, RawServer::stallClients) { decode(it, bytes) }
+                assertEquals(emptyMap<String, String>() to emptyMap(), prefills to decodes, "$bytes bytes")
+            }
+        }
     }
 
     @Nested
