Ask the other server again when a call's own breaks off a late answer

Cause: a call without an answer for 150 ms is sent to a second server as well. When the first one then begins an answer, the second is left. If the first breaks that answer off, both attempts are used up and the call fails, though the second server was left in the middle of its work.

A server that was left that way may be asked again, as it may for streams; the call still reaches no more servers than its route allows, and the retry is charged. The set of such servers moves to RequestHandler.

SilentPlainServerTest, "a call goes back to the other server when its server begins an answer late and breaks it off", failed before (502) and passes.

--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/GenerationRequestHandler.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/GenerationRequestHandler.kt
@@ -394,6 +394,5 @@
         }
     }
 
-    private fun canRetry() =
-        (mayRetry() || unheard.any { it !in tried }) && retries.isAvailable
+    private fun canRetry() = mayGoOn() && retries.isAvailable
 }
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/PlainRequestHandler.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/PlainRequestHandler.kt
@@ -206,7 +206,7 @@
     override fun returnToServer(reason: String): Boolean {
         val previous = silent ?: return false
         silent = null
-        currentSend?.takeIf { it !== previous }?.cancel()
+        currentSend?.takeIf { it !== previous }?.also { unheard += it.server.row.id }?.cancel()
         currentSend = previous
         releaseResources()
         permits.release()
@@ -347,7 +347,7 @@
 
         private fun retryOr(otherwise: () -> Unit) {
             val another = path() is ForwardPath.AwaitPeers || candidates().any { it.row.id !in tried }
-            val useful = another && retries.isAvailable && leftMs() > MIN_RETRY_TIME_MS && mayRetry()
+            val useful = another && retries.isAvailable && leftMs() > MIN_RETRY_TIME_MS && mayGoOn()
             if (useful) dispatch() else otherwise()
         }
 
@@ -356,7 +356,7 @@
             val answer = head ?: return false
             if (!canForward(answer)) return false
             val failed = answer.status().codeClass() == HttpStatusClass.SERVER_ERROR
-            return !failed || !mayRetry()
+            return !failed || !mayGoOn()
         }
 
         private fun isSuccess() = head?.status()?.codeClass() == HttpStatusClass.SUCCESS
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/RequestHandler.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/RequestHandler.kt
@@ -40,6 +40,9 @@
     protected val crashSuspect = CrashSuspect(routed, parts, context.quarantine)
     protected val route get() = routed.route
     protected val tried = HashSet<ServerId>()
+
+    /** Servers that were left without a part of an answer; the route allows that they are asked again. */
+    protected val unheard = HashSet<ServerId>()
     protected var runState = RunState.NOT_RUN
     protected var attempts = 0
     protected var isOver = false
@@ -254,6 +257,9 @@
     protected fun mayRetry(): Boolean =
         (runState == RunState.NOT_RUN || route.repetition != Repetition.AT_MOST_ONCE) && attempts < route.maxAttempts
 
+    /** Returns whether the request may be sent to another server, or again to one that was left without an answer. */
+    protected fun mayGoOn(): Boolean = mayRetry() || unheard.any { it !in tried }
+
     /** Returns whether [answer], which is not a stream, can be forwarded unchanged. */
     protected fun canForward(answer: HttpResponse): Boolean = answer.isForwardable(route, context.dialect)
 
--- a/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/StreamRequestHandler.kt
+++ b/gentiandale-relay/src/main/kotlin/gentiandale/relay/request/StreamRequestHandler.kt
@@ -1,6 +1,5 @@
 package gentiandale.relay.request
 
-import gentiandale.core.ServerId
 import gentiandale.relay.backend.Backend
 import gentiandale.relay.forward.ForwardPath
 import gentiandale.relay.placement.SilenceStep
@@ -19,8 +18,6 @@
     protected var silent: SilentStream? = null
         private set
 
-    /** Servers that were left without an event of theirs; the route allows that they are asked again. */
-    protected val unheard = HashSet<ServerId>()
     private val silences = StreamSilences(routed, context)
     private var hasUnsent = false
 
